--- /dev/null
+++ b/src/bookkeeping/ledger.cpp
@@ -0,0 +1,208 @@
+#include "bookkeeping/ledger.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+
+namespace saddleslip::bookkeeping {
+
+namespace {
+
+constexpr std::size_t kFinalsKept = 8192;  // older ones are read from the store when asked for
+
+bool under(const std::string& key, const std::string& prefix) {
+  return key.compare(0, prefix.size(), prefix) == 0;
+}
+
+}  // namespace
+
+bool Ledger::apply(const Item& item, Time now) {
+  const auto known = versions_.find(item.key);
+  if (known != versions_.end() && item.version <= known->second) return false;
+  const auto gone = removed_.find(item.key);
+  // Guards against an event older than our own removal bringing the key back.
+  if (gone != removed_.end() && item.version <= gone->second) return false;
+
+  const bool removal = item.value.is_null();
+  const std::string key = item.key;
+  if (under(key, protocol::kFinals)) {
+    if (const auto f = protocol::parse_final(item.value)) {
+      remember_final(JobId(key.substr(protocol::kFinals.size())), *f);
+    }
+    return true;  // no version kept: there is no end to them
+  }
+  if (removal) {
+    if (known != versions_.end()) versions_.erase(known);
+    if (item.version.get() > revision_.get()) removed_[key] = item.version;
+  } else {
+    versions_[key] = item.version;
+  }
+  if (under(key, protocol::kJobs)) {
+    put_job(item, now);
+  } else if (under(key, protocol::kChunks)) {
+    put_chunk(item);
+  } else if (under(key, protocol::kMembers)) {
+    const MemberId member(key.substr(protocol::kMembers.size()));
+    const auto life = protocol::parse_life(item.value);
+    if (life) {
+      members_[member] = *life;
+    } else {
+      members_.erase(member);
+    }
+  } else if (key == protocol::kViewKey) {
+    view_ = protocol::parse_view(item.value);
+  } else if (key == protocol::kLeadKey) {
+    leader_ = protocol::parse_life(item.value);
+  } else if (key == protocol::kCatalogueKey) {
+    if (auto c = protocol::parse_catalogue(item.value)) catalogue_ = std::move(*c);
+  } else if (key == protocol::kFleetKey) {
+    booting_ = protocol::parse_fleet(item.value);
+  }
+  return true;
+}
+
+void Ledger::count(const Job& job, std::size_t chunk, int sign) {
+  for (const auto& [no, held] : job.chunks[chunk].record.held) {
+    const TaskId task{job.record.spec.id, no};
+    auto& on = by_machine_[held.machine];
+    if (sign > 0) {
+      on[task] = held;
+    } else {
+      on.erase(task);
+      if (on.empty()) by_machine_.erase(held.machine);
+    }
+  }
+  const auto n = static_cast<double>(job.chunks[chunk].record.held.size());
+  if (n > 0) team_use_[job.record.spec.team] += job.record.spec.need * (n * sign);
+}
+
+void Ledger::put_job(const Item& item, Time now) {
+  const JobId id(item.key.substr(protocol::kJobs.size()));
+  const auto at = jobs_.find(id);
+  auto record = protocol::parse_job(item.value);
+  if (!record) {
+    if (!item.value.is_null()) spdlog::error("job {} in the store can't be read", id.get());
+    if (at == jobs_.end()) return;
+    for (std::size_t c = 0; c < at->second.chunks.size(); ++c) {
+      count(at->second, c, -1);
+      const std::string key = protocol::chunk_key(id, static_cast<std::uint32_t>(c));
+      if (const auto v = versions_.find(key); v != versions_.end()) orphans_[key] = v->second;
+    }
+    jobs_.erase(at);
+    return;
+  }
+  if (at != jobs_.end()) {
+    at->second.record = std::move(*record);
+    at->second.version = item.version;
+    return;
+  }
+  Job job;
+  job.record = std::move(*record);
+  job.version = item.version;
+  job.seen = now;
+  job.chunks.resize((job.record.spec.tasks + protocol::kChunk - 1) / protocol::kChunk);
+  for (std::size_t c = 0; c < job.chunks.size(); ++c) {
+    job.chunks[c].record.done.assign(job.chunk_size(c), false);
+  }
+  jobs_.emplace(id, std::move(job));
+}
+
+void Ledger::put_chunk(const Item& item) {
+  const auto name = protocol::parse_chunk_key(item.key);
+  if (!name) return;
+  const auto at = jobs_.find(name->job);
+  if (at == jobs_.end() || name->chunk >= at->second.chunks.size()) {
+    if (item.value.is_null()) {
+      orphans_.erase(item.key);
+    } else {
+      orphans_[item.key] = item.version;
+    }
+    return;
+  }
+  Job& job = at->second;
+  Chunk& chunk = job.chunks[name->chunk];
+  auto record =
+      protocol::parse_chunk(item.value, job.chunk_first(name->chunk), job.chunk_size(name->chunk));
+  if (!record) {
+    spdlog::error("{} in the store can't be read", item.key);
+    return;
+  }
+  count(job, name->chunk, -1);
+  job.held -= static_cast<TaskNo>(chunk.record.held.size());
+  job.done -= chunk.record.done_count();
+  chunk.record = std::move(*record);
+  chunk.version = item.value.is_null() ? Version(0) : item.version;
+  job.held += static_cast<TaskNo>(chunk.record.held.size());
+  job.done += chunk.record.done_count();
+  count(job, name->chunk, +1);
+}
+
+void Ledger::caught_up(Revision revision) {
+  if (revision <= revision_) return;
+  revision_ = revision;
+  std::erase_if(removed_, [&](const auto& r) { return r.second.get() <= revision.get(); });
+}
+
+void Ledger::clear() {
+  jobs_.clear();
+  by_machine_.clear();
+  team_use_.clear();
+  versions_.clear();
+  removed_.clear();
+  orphans_.clear();
+  view_.reset();
+  leader_.reset();
+  members_.clear();
+  booting_.clear();
+  revision_ = Revision(0);
+}
+
+const Job* Ledger::job(const JobId& id) const {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+std::optional<JobStatus> Ledger::final_state(const JobId& id) const {
+  const auto it = finals_.find(id);
+  if (it == finals_.end()) return {};
+  return it->second;
+}
+
+void Ledger::remember_final(const JobId& id, JobStatus status) {
+  if (!finals_.emplace(id, status).second) return;
+  finals_order_.push_back(id);
+  if (finals_order_.size() > kFinalsKept) {
+    finals_.erase(finals_order_.front());
+    finals_order_.pop_front();
+  }
+}
+
+const std::map<TaskId, Held>& Ledger::held_by(const MachineId& machine) const {
+  static const std::map<TaskId, Held> kNone;
+  const auto it = by_machine_.find(machine);
+  return it == by_machine_.end() ? kNone : it->second;
+}
+
+Resources Ledger::team_use(const std::string& team) const {
+  const auto it = team_use_.find(team);
+  return it == team_use_.end() ? Resources{} : it->second;
+}
+
+bool Ledger::limited(const std::string& team) const {
+  const auto it = settings_.teams.find(team);
+  return it != settings_.teams.end() && (it->second.cores_max > 0 || it->second.gpus_max > 0);
+}
+
+Version Ledger::version(const std::string& key) const {
+  const auto it = versions_.find(key);
+  return it == versions_.end() ? Version(0) : it->second;
+}
+
+const MachineType* Ledger::type(const std::string& name) const {
+  for (const MachineType& t : catalogue_) {
+    if (t.name == name) return &t;
+  }
+  return nullptr;
+}
+
+}  // namespace saddleslip::bookkeeping
--- /dev/null
+++ b/src/bookkeeping/ledger.h
@@ -0,0 +1,119 @@
+// This process's copy of what the state service holds, fed by its watch and by its own commits.
+// Never older than the watch; each key keeps the newest version seen.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/settings.h"
+#include "protocol/records.h"
+
+namespace saddleslip::bookkeeping {
+
+using base::Attempt;
+using base::JobId;
+using base::MachineId;
+using base::MemberId;
+using base::Revision;
+using base::TaskId;
+using base::TaskNo;
+using base::Time;
+using base::Version;
+using protocol::ChunkRecord;
+using protocol::Held;
+using protocol::Item;
+using protocol::JobRecord;
+using protocol::JobStatus;
+using protocol::Life;
+using protocol::MachineType;
+using protocol::Resources;
+using protocol::View;
+
+struct Chunk {
+  ChunkRecord record;
+  Version version;
+};
+
+struct Job {
+  JobRecord record;
+  Version version;
+  std::vector<Chunk> chunks;
+  TaskNo done = 0;
+  TaskNo held = 0;
+  Time seen{};  // when this process first saw it
+
+  TaskNo chunk_first(std::size_t c) const { return static_cast<TaskNo>(c) * protocol::kChunk; }
+  TaskNo chunk_size(std::size_t c) const {
+    return std::min(protocol::kChunk, record.spec.tasks - chunk_first(c));
+  }
+  TaskNo pending() const { return record.withdrawn ? 0 : record.spec.tasks - done - held; }
+  bool is_done(TaskNo no) const {
+    const auto& c = chunks[no / protocol::kChunk];
+    return c.record.done[no % protocol::kChunk];
+  }
+  const Held* holder(TaskNo no) const {
+    const auto& held_by = chunks[no / protocol::kChunk].record.held;
+    const auto it = held_by.find(no);
+    return it == held_by.end() ? nullptr : &it->second;
+  }
+};
+
+class Ledger {
+ public:
+  explicit Ledger(const base::Settings& settings) : settings_(settings) {}
+
+  // An item as listed, watched or committed. Returns false if it was known or older.
+  bool apply(const Item& item, Time now);
+  // The watch (or the first load) has told everything up to here.
+  void caught_up(Revision revision);
+  Revision revision() const { return revision_; }
+  // Starts over, as after a watch that fell too far behind. Final states stay.
+  void clear();
+
+  const std::map<JobId, Job>& jobs() const { return jobs_; }
+  const Job* job(const JobId& id) const;
+  std::optional<JobStatus> final_state(const JobId& id) const;
+  void remember_final(const JobId& id, JobStatus status);
+
+  const std::map<TaskId, Held>& held_by(const MachineId& machine) const;
+  const std::map<MachineId, std::map<TaskId, Held>>& held() const { return by_machine_; }
+  Resources team_use(const std::string& team) const;
+  bool limited(const std::string& team) const;
+  Version version(const std::string& key) const;
+
+  const std::optional<View>& view() const { return view_; }
+  const std::optional<Life>& leader() const { return leader_; }
+  const std::map<MemberId, Life>& members() const { return members_; }
+  const std::vector<MachineType>& catalogue() const { return catalogue_; }
+  const MachineType* type(const std::string& name) const;
+  const std::vector<protocol::Booting>& booting() const { return booting_; }
+  const std::map<std::string, Version>& orphans() const { return orphans_; }
+
+ private:
+  void put_job(const Item& item, Time now);
+  void put_chunk(const Item& item);
+  void count(const Job& job, std::size_t chunk, int sign);
+
+  const base::Settings& settings_;
+  std::map<JobId, Job> jobs_;
+  std::map<MachineId, std::map<TaskId, Held>> by_machine_;
+  std::map<std::string, Resources> team_use_;
+  std::unordered_map<std::string, Version> versions_;  // of keys that exist
+  std::unordered_map<std::string, Version> removed_;   // removals ahead of the watch
+  std::map<std::string, Version> orphans_;             // chunks whose job is over
+  std::unordered_map<JobId, JobStatus> finals_;        // bounded: the latest ones
+  std::deque<JobId> finals_order_;
+  std::optional<View> view_;
+  std::optional<Life> leader_;
+  std::map<MemberId, Life> members_;
+  std::vector<MachineType> catalogue_;
+  std::vector<protocol::Booting> booting_;
+  Revision revision_;
+};
+
+}  // namespace saddleslip::bookkeeping
--- /dev/null
+++ b/src/coordination/controller.cpp
@@ -0,0 +1,598 @@
+#include "coordination/controller.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/log.h"
+
+namespace saddleslip::coordination {
+
+namespace {
+
+constexpr Seconds kGoneKept{600.0};      // late reports and old lists may still name the machine
+constexpr Seconds kReachable{4.0};       // a sibling not reached for this long counts as cut off
+constexpr Seconds kStatusFresh{5.0};     // a sibling's room is relied on for this long
+constexpr Seconds kArrivalWindow{120.0};
+
+}  // namespace
+
+Controller::Controller(const base::Settings& settings) : settings_(settings), ledger_(settings) {}
+
+// --- membership
+
+void Controller::begin_life(Life life) {
+  self_ = std::move(life);
+  alive_ = true;
+  authority_until_ = Time{};
+  lease_until_ = Time{};
+}
+
+void Controller::end_life() {
+  alive_ = false;
+  authority_until_ = Time{};
+  lease_until_ = Time{};
+}
+
+void Controller::renewed(Time sent, Version view) {
+  // Counted from when the renewal was sent, on a clock that may run slow against the store's.
+  const Time until = base::after(sent, settings_.tuning.member_ttl * (1.0 - base::kDrift));
+  lease_until_ = std::max(lease_until_, until);
+  authority_until_ = until;
+  authority_view_ = view;
+}
+
+bool Controller::entitled(Time now) const {
+  return alive_ && now < authority_until_ && ledger_.view() && followed_view_.get() != 0 &&
+         authority_view_ == followed_view_ &&
+         followed_view_ == ledger_.version(protocol::kViewKey) &&
+         has_member(*ledger_.view(), self_);
+}
+
+bool Controller::leads(Time now) const {
+  return alive_ && has_lease(now) && ledger_.leader() && *ledger_.leader() == self_;
+}
+
+bool Controller::owns(const MachineId& machine) const {
+  if (!alive_ || !ledger_.view()) return false;
+  const Life* owner = owner_of(*ledger_.view(), machine.get());
+  return owner && *owner == self_;
+}
+
+void Controller::follow(Time now) {
+  for (const auto& [id, life] : ledger_.members()) member_since_.try_emplace(id, now);
+  std::erase_if(member_since_, [&](const auto& m) { return !ledger_.members().contains(m.first); });
+  if (leads(now) != led_) {
+    led_ = leads(now);
+    if (led_) {
+      led_since_ = now;
+      booting_ = ledger_.booting();
+      to_release_.clear();
+      unheard_.clear();
+      shunned_.clear();
+      spdlog::info("leading from now on");
+    } else {
+      spdlog::info("no longer leading");
+    }
+  }
+  const Version version = ledger_.version(protocol::kViewKey);
+  if (!ledger_.view() || version == followed_view_) return;
+  const Token base = first_token(ledger_.view()->epoch);
+  // Views that were skipped may have had other owners, who may have answered until lately.
+  const bool in_a_row = base.get() == base_token_.get() + first_token(Epoch(1)).get();
+  followed_view_ = version;
+  base_token_ = base;
+  followed_at_ = now;
+  std::erase_if(machines_, [&](const auto& m) { return !owns(m.first); });
+  std::erase_if(owned_since_, [&](const auto& m) { return !in_a_row || !owns(m.first); });
+  for (auto& [id, m] : machines_) {
+    m.token = base;
+    m.floor = base;
+    if (!in_a_row) m.answered = std::max(m.answered, base::after(now, settings_.tuning.member_ttl));
+  }
+  // Shares handed to members that are gone must find a new home at once.
+  offered_.clear();
+  std::string names;
+  for (const Life& m : ledger_.view()->members) {
+    names += (names.empty() ? "" : ", ") + m.member.get() + "#" + std::to_string(m.life.get());
+  }
+  spdlog::info("view {} of [{}], {}", ledger_.view()->epoch.get(), names,
+               has_member(*ledger_.view(), self_) ? "a member" : "not a member");
+}
+
+std::optional<Transaction> Controller::tend_view(Time now, base::LeaseId lease) {
+  if (!alive_ || !has_lease(now)) return {};
+  const auto& members = ledger_.members();
+  const auto me = members.find(self_.member);
+  if (me == members.end() || me->second != self_) return {};
+  std::size_t others = 0, reached = 0;
+  for (const auto& [id, life] : members) {
+    if (id == self_.member) continue;
+    ++others;
+    const auto at = reached_.find(id);
+    if (at != reached_.end() && base::between(at->second, now) < kReachable) ++reached;
+  }
+  Transaction txn;
+  txn.guards[protocol::kLeadKey] = ledger_.version(protocol::kLeadKey);
+  const auto& leader = ledger_.leader();
+  if (!leader || (leader->member == self_.member && leader->life != self_.life)) {
+    // A node that reaches nobody is the one that is cut off: it must not lead.
+    if (others > 0 && reached == 0) return {};
+    txn.guards[protocol::member_key(self_.member)] =
+        ledger_.version(protocol::member_key(self_.member));
+    txn.writes.push_back({protocol::kLeadKey, to_json(self_), lease});
+    return txn;
+  }
+  if (*leader != self_) return {};
+  if (others >= 2 && reached == 0 && base::between(led_since_, now) > kReachable) {
+    bool all_long = true;
+    for (const auto& [id, life] : members) {
+      const auto since = member_since_.find(id);
+      all_long = all_long && since != member_since_.end() &&
+                 base::between(since->second, now) > kReachable;
+    }
+    if (all_long) {
+      spdlog::warn("no other member can be reached: giving up the lead");
+      txn.writes.push_back({protocol::kLeadKey, {}, {}});
+      return txn;
+    }
+  }
+  std::set<MemberId> shun;
+  for (const auto& [id, life] : members) {
+    if (id == self_.member || reached == 0) continue;
+    const auto at = reached_.find(id);
+    const auto since = member_since_.find(id);
+    Time last = at == reached_.end() ? Time{} : at->second;
+    if (since != member_since_.end()) last = std::max(last, since->second);
+    if (base::between(last, now) > kReachable) shun.insert(id);
+  }
+  if (shun != shunned_) {
+    shunned_ = shun;
+    for (const auto& id : shun) spdlog::warn("{} can't be reached: left out of the view", id.get());
+  }
+  const auto next = wanted_view(members, ledger_.view(), shunned_);
+  if (!next) return {};
+  txn.guards[protocol::kViewKey] = ledger_.version(protocol::kViewKey);
+  txn.writes.push_back({protocol::kViewKey, to_json(*next), {}});
+  return txn;
+}
+
+// --- workers
+
+WorkerReply Controller::hello(const Report& report, Time now) {
+  if (!ledger_.view() || ledger_.view()->members.empty()) {
+    return {503, protocol::error_body("no view yet")};
+  }
+  const Life* owner = owner_of(*ledger_.view(), report.machine.get());
+  if (owner->member != self_.member) return {421, protocol::redirect(owner->member)};
+  if (!entitled(now)) return {503, protocol::error_body("not entitled to act now")};
+  if (gone_.contains(report.machine)) return {503, protocol::error_body("released")};
+  observe(report, now, true);
+  const auto at = machines_.find(report.machine);
+  // A late copy: what came after it has been answered already, and the worker drops this answer.
+  if (at == machines_.end() || at->second.last.sequence != report.sequence ||
+      at->second.last.session != report.session) {
+    return {503, protocol::error_body("an old report")};
+  }
+  Machine& m = at->second;
+  m.answered = now;
+  return {200, protocol::report_response(m.token, reconcile(m))};
+}
+
+void Controller::order_answered(const MachineId& machine, const std::optional<Report>& report,
+                                Time now) {
+  if (!report || report->machine != machine || !owns(machine)) return;
+  observe(*report, now, false);
+}
+
+void Controller::observe(const Report& report, Time now, bool is_hello) {
+  if (gone_.contains(report.machine)) return;
+  const auto dead = dead_session_.find(report.machine);
+  if (dead != dead_session_.end() && report.session <= dead->second) return;
+  zones_[report.machine] = report.zone;
+  auto [at, is_new] = machines_.try_emplace(report.machine);
+  Machine& m = at->second;
+  if (is_new) {
+    m.first_heard = now;
+    m.idle_since = now;
+    m.token = base_token_;
+    m.floor = base_token_;
+    m.answered = base::after(followed_at_, settings_.tuning.member_ttl);
+    spdlog::info("machine {} ({}, {}{}) reports, session {}, {} tasks", report.machine.get(),
+                 report.type, report.zone, report.spot ? ", spot" : "", report.session.get(),
+                 report.tasks.size());
+  } else if (std::pair(report.session, report.sequence) <=
+             std::pair(m.last.session, m.last.sequence)) {
+    return;
+  } else if (report.session != m.last.session) {
+    spdlog::info("machine {} begins session {}: what it ran before is over", report.machine.get(),
+                 report.session.get());
+    m.evict.clear();
+    m.ran.clear();
+  }
+  m.last = report;
+  m.heard = now;
+  if (report.notice && !m.taken_at) {
+    m.taken_at = base::after(now, *report.notice);
+    m.closed = true;
+    spdlog::info("machine {} will be taken in {:.1f} s", report.machine.get(),
+                 report.notice->count());
+  }
+  std::map<TaskId, Time> ran;
+  bool busy = !ledger_.held_by(report.machine).empty();
+  for (const auto& [task, attempts] : report.tasks) {
+    for (const auto& t : attempts) {
+      if (t.state != protocol::TaskState::kEnded) busy = true;
+      if (t.state == protocol::TaskState::kRunning) {
+        const auto before = m.ran.find(task);
+        ran[task] = before == m.ran.end() ? now : before->second;
+      }
+    }
+  }
+  m.ran = std::move(ran);
+  if (busy) m.idle_since = now;
+  std::erase_if(m.evict, [&](const TaskId& t) {
+    return !ledger_.held_by(report.machine).contains(t);
+  });
+  // A start that the worker hasn't heard of can't reach it any more: every answer that carried it
+  // was taken or dropped before this report was sent, and direct orders are fenced by the token.
+  if (is_hello && m.fenced()) {
+    for (const auto& [task, held] : ledger_.held_by(report.machine)) {
+      const Job* job = ledger_.job(task.job);
+      if (job && job->record.withdrawn && held.session == report.session &&
+          !report.tasks.contains(task)) {
+        absent_[task] = held.attempt;
+      }
+    }
+  }
+}
+
+std::vector<Command> Controller::reconcile(const Machine& m) const {
+  std::vector<Command> out;
+  const auto& held = ledger_.held_by(m.last.machine);
+  for (const auto& [task, attempts] : m.last.tasks) {
+    const auto h = held.find(task);
+    const Job* job = ledger_.job(task.job);
+    for (const auto& t : attempts) {
+      const bool ours = h != held.end() && h->second.attempt == t.attempt;
+      if (t.state == protocol::TaskState::kEnded) {
+        // Forgotten only once its end is on record and no copy of its start can arrive any more:
+        // the worker would run it again.
+        if (!ours && m.fenced()) out.push_back({Command::Op::kForget, task, t.attempt, {}});
+        continue;
+      }
+      const bool wanted = ours && job && !job->record.withdrawn && !m.evict.contains(task);
+      if (wanted) continue;
+      const bool save = ours && job && !job->record.withdrawn &&
+                        job->record.spec.checkpoint.count() > 0;
+      if (t.state == protocol::TaskState::kSaving && save) continue;
+      out.push_back({Command::Op::kKill, task, t.attempt,
+                     save ? job->record.spec.save + Seconds(1.0) : Seconds(0)});
+    }
+  }
+  for (const auto& [task, h] : held) {
+    if (h.session != m.last.session || m.evict.contains(task)) continue;
+    const Job* job = ledger_.job(task.job);
+    if (!job || job->record.withdrawn) continue;
+    const auto reported = m.last.tasks.find(task);
+    const bool known = reported != m.last.tasks.end() &&
+                       std::any_of(reported->second.begin(), reported->second.end(),
+                                   [&](const auto& t) { return t.attempt == h.attempt; });
+    if (!known) out.push_back({Command::Op::kRun, task, h.attempt, {}});
+  }
+  return out;
+}
+
+void Controller::machines_gone(const std::vector<MachineId>& machines, Time now) {
+  for (const MachineId& id : machines) {
+    if (!gone_.emplace(id, now).second) continue;
+    machines_.erase(id);
+    mute_.erase(id);
+    spdlog::info("machine {} is gone (the cloud's word)", id.get());
+  }
+  std::erase_if(gone_, [&](const auto& g) {
+    return base::between(g.second, now) > kGoneKept && !ledger_.held().contains(g.first);
+  });
+}
+
+void Controller::close_idle(const std::vector<MachineId>& machines) {
+  for (const MachineId& id : machines) {
+    const auto at = machines_.find(id);
+    if (at == machines_.end() || at->second.closed || !ledger_.held_by(id).empty()) continue;
+    at->second.closed = true;
+    spdlog::info("machine {} is idle: closed", id.get());
+  }
+}
+
+// --- siblings
+
+bool Controller::fresh(const Machine& m, Time now) const {
+  return base::between(m.heard, now) < settings_.report_every * 2.5;
+}
+
+Resources Controller::free_room(const Machine& m, Resources* lower) const {
+  const auto* type = ledger_.type(m.last.type);
+  if (!type) return {};
+  Resources free = type->size;
+  const auto& held = ledger_.held_by(m.last.machine);
+  for (const auto& [task, h] : held) {
+    const Job* job = ledger_.job(task.job);
+    if (!job) continue;
+    free -= job->record.spec.need;
+    if (lower && job->record.spec.rank >= protocol::Rank::kStandard && !m.evict.contains(task)) {
+      *lower += job->record.spec.need;
+    }
+  }
+  for (const auto& [task, attempts] : m.last.tasks) {
+    const auto h = held.find(task);
+    for (const auto& t : attempts) {
+      if (t.state == protocol::TaskState::kEnded) continue;
+      if (h != held.end() && h->second.attempt == t.attempt) continue;
+      const Job* job = ledger_.job(task.job);
+      if (!job) return {};  // it is being stopped, and nobody knows how much it takes
+      free -= job->record.spec.need;
+    }
+  }
+  for (double& x : free.v) x = std::max(x, 0.0);
+  return free;
+}
+
+MachineRoom Controller::room_of(const Machine& m, Time now) const {
+  MachineRoom r;
+  r.id = m.last.machine;
+  r.type = m.last.type;
+  r.zone = m.last.zone;
+  r.spot = m.last.spot;
+  r.open = !m.closed && fresh(m, now);
+  r.free = free_room(m, &r.lower);
+  r.tasks = static_cast<std::uint32_t>(ledger_.held_by(m.last.machine).size());
+  r.idle_s = r.tasks > 0 ? 0.0 : base::between(m.idle_since, now).count();
+  return r;
+}
+
+std::string Controller::zone_of(const MachineId& machine) const {
+  const auto it = zones_.find(machine);
+  return it == zones_.end() ? std::string() : it->second;
+}
+
+MemberStatus Controller::status(Time now) const {
+  MemberStatus s;
+  s.from = self_;
+  s.has_state = has_lease(now);
+  for (const auto& [id, m] : machines_) {
+    s.machines.push_back(room_of(m, now));
+    if (m.give_back) s.give_back.push_back(id);
+  }
+  for (const MachineId& id : mute_) {
+    const auto at = machines_.find(id);
+    if (at == machines_.end() || !at->second.give_back) s.give_back.push_back(id);
+  }
+  return s;
+}
+
+Instructions Controller::heard_status(const MemberStatus& status, Time now) {
+  siblings_[status.from.member] = {status, now};
+  for (const MachineRoom& m : status.machines) zones_[m.id] = m.zone;
+  Instructions out;
+  for (const MachineId& id : status.give_back) {
+    if (gone_.contains(id)) {
+      out.gone.push_back(id);
+    } else if (leads(now)) {
+      to_release_.insert(id);
+    }
+  }
+  if (leads(now)) {
+    auto& close = to_close_[status.from.member];
+    out.close.assign(close.begin(), close.end());
+    close.clear();
+  }
+  return out;
+}
+
+bool Controller::others_have_state(Time now) const {
+  return std::any_of(siblings_.begin(), siblings_.end(), [&](const auto& s) {
+    return s.second.status.has_state && base::between(s.second.heard, now) < Seconds(2.5);
+  });
+}
+
+std::vector<std::pair<MemberId, std::vector<MachineRoom>>> Controller::parts(Time now) const {
+  std::vector<std::pair<MemberId, std::vector<MachineRoom>>> out;
+  std::vector<MachineRoom> own;
+  for (const auto& [id, m] : machines_) own.push_back(room_of(m, now));
+  out.emplace_back(self_.member, std::move(own));
+  if (!ledger_.view()) return out;
+  for (const Life& member : ledger_.view()->members) {
+    const auto s = siblings_.find(member.member);
+    if (member == self_ || s == siblings_.end() || s->second.status.from != member ||
+        base::between(s->second.heard, now) > kStatusFresh) {
+      continue;
+    }
+    out.emplace_back(member.member, s->second.status.machines);
+  }
+  return out;
+}
+
+// --- fleet
+
+void Controller::count_arrivals(Time now) {
+  for (const auto& [id, job] : ledger_.jobs()) {
+    if (job.record.spec.kind != protocol::Kind::kService || !counted_.insert(id).second) continue;
+    Arrivals& a = arrivals_[job.record.spec.job_class];
+    a.spec = job.record.spec;
+    a.recent.emplace_back(job.seen, job.record.spec.tasks);
+  }
+  std::erase_if(counted_, [&](const JobId& id) { return !ledger_.job(id); });
+  for (auto& [name, a] : arrivals_) {
+    while (!a.recent.empty() && base::between(a.recent.front().first, now) > kArrivalWindow) {
+      a.recent.pop_front();
+    }
+  }
+}
+
+Controller::FleetActions Controller::plan_fleet(Time now, double wall_now) {
+  FleetActions actions;
+  if (!leads(now) || !entitled(now) || ledger_.catalogue().empty()) return actions;
+  count_arrivals(now);
+  actions.release.assign(to_release_.begin(), to_release_.end());
+
+  FleetInput in;
+  in.now = now;
+  in.catalogue = &ledger_.catalogue();
+  in.refused = refused_;
+  in.idle_return = settings_.tuning.idle_return;
+  in.spot_share = settings_.tuning.spot_share;
+  std::set<MachineId> heard;
+  std::map<MachineId, MemberId> owner;
+  const auto known = parts(now);
+  for (const auto& [member, rooms] : known) {
+    for (const MachineRoom& r : rooms) {
+      heard.insert(r.id);
+      owner[r.id] = member;
+      in.machines.push_back(r);
+    }
+  }
+  // Renting while a part's machines are unknown would pay for them twice.
+  const Seconds settle = settings_.report_every * 2.0 + Seconds(1.0);
+  if (known.size() < ledger_.view()->members.size() ||
+      base::between(std::max(led_since_, followed_at_), now) < settle) {
+    return actions;
+  }
+
+  double soonest = 0;
+  for (const auto& t : ledger_.catalogue()) {
+    if (soonest == 0 || t.boot.count() < soonest) soonest = t.boot.count();
+  }
+  std::erase_if(booting_, [&](const protocol::Booting& b) {
+    if (heard.contains(b.id) || gone_.contains(b.id)) return true;
+    const auto* type = ledger_.type(b.type);
+    const double age = wall_now - b.rented, boot = type ? type->boot.count() : 30.0;
+    if (age < boot * 4 + 20) return false;
+    spdlog::info("machine {} never came up ({:.0f} s): released", b.id.get(), age);
+    actions.release.push_back(b.id);
+    to_release_.insert(b.id);
+    return true;
+  });
+  for (const auto& b : booting_) {
+    const auto* type = ledger_.type(b.type);
+    // One that is long overdue is not counted on.
+    if (type && wall_now - b.rented < type->boot.count() * 2 + 10) in.booting.push_back(b);
+  }
+
+  std::map<std::string, Resources> team_room;
+  for (const auto& [id, job] : ledger_.jobs()) {
+    const auto& spec = job.record.spec;
+    std::size_t n = job.pending();
+    if (n == 0) continue;
+    const auto failing = failures_.find(id);
+    if (failing != failures_.end() && failing->second.machines.size() >= 3 && job.done == 0) continue;
+    if (ledger_.limited(spec.team)) {
+      const base::Team& team = settings_.teams.at(spec.team);
+      auto [room, is_new] = team_room.try_emplace(spec.team);
+      if (is_new) {
+        room->second.v = {team.cores_max, team.gpus_max, 0};
+        room->second -= ledger_.team_use(spec.team);
+      }
+      if (team.cores_max > 0 && spec.need.cores() > 0) {
+        n = std::min(n, static_cast<std::size_t>(
+                            std::max(0.0, room->second.cores() / spec.need.cores() + 1e-9)));
+      }
+      room->second -= spec.need * static_cast<double>(n);
+    }
+    if (n == 0) continue;
+    // Tasks that can wait for others to end before their deadline need no machines of their own.
+    double waves = 1;
+    if (spec.kind == protocol::Kind::kArray && spec.deadline) {
+      const double left = job.record.submitted + spec.deadline->count() - wall_now;
+      const double each = std::max(1.0, spec.estimate.count() * 1.3);
+      waves = std::clamp(std::floor((left - soonest * 1.3) / each), 1.0, 3.0);
+    }
+    Demand d;
+    d.need = spec.need;
+    d.count = static_cast<std::size_t>(std::ceil(static_cast<double>(n) / waves));
+    d.tier = tier_of(job);
+    d.spec = &spec;
+    in.demand.push_back(d);
+  }
+  for (const auto& [name, a] : arrivals_) {
+    double tasks = 0;
+    for (const auto& [at, n] : a.recent) {
+      // What was there at the start of this leader's count is not an arrival.
+      if (base::between(led_since_, at) > Seconds(2.0)) tasks += n;
+    }
+    const double span = std::clamp(base::between(led_since_, now).count(), 30.0, kArrivalWindow.count());
+    Demand d;
+    d.need = a.spec.need;
+    d.count = static_cast<std::size_t>(
+        std::ceil(tasks / span * soonest * 1.5 * settings_.tuning.headroom));
+    d.tier = 100;
+    d.spec = &a.spec;
+    if (d.count > 0) in.demand.push_back(d);
+  }
+  actions.plan = coordination::plan_fleet(in);
+  for (const MachineId& id : actions.plan.close) {
+    if (owner[id] == self_.member) {
+      close_idle({id});
+    } else {
+      to_close_[owner[id]].insert(id);
+    }
+  }
+  return actions;
+}
+
+void Controller::rented(const MachineKind& kind, const std::vector<MachineId>& machines,
+                        double wall_now) {
+  for (const MachineId& id : machines) {
+    booting_.push_back({id, kind.type, kind.zone, kind.spot, wall_now});
+    zones_[id] = kind.zone;
+  }
+}
+
+std::optional<Transaction> Controller::fleet_record() const {
+  Transaction txn;
+  txn.guards[protocol::kLeadKey] = ledger_.version(protocol::kLeadKey);
+  txn.writes.push_back({protocol::kFleetKey, to_json(booting_), {}});
+  return txn;
+}
+
+void Controller::released(const std::vector<MachineId>& machines, Time now) {
+  for (const MachineId& id : machines) to_release_.erase(id);
+  machines_gone(machines, now);
+}
+
+void Controller::listed(const std::vector<protocol::CloudMachine>& machines, Time now,
+                        double wall_now) {
+  if (!leads(now)) return;
+  std::set<MachineId> heard, listed;
+  for (const auto& [member, rooms] : parts(now)) {
+    for (const MachineRoom& r : rooms) heard.insert(r.id);
+  }
+  for (const auto& b : booting_) heard.insert(b.id);
+  for (const auto& c : machines) {
+    listed.insert(c.id);
+    if (gone_.contains(c.id)) continue;
+    zones_.try_emplace(c.id, c.zone);
+    if (c.state == protocol::CloudState::kFailed) {
+      to_release_.insert(c.id);
+      continue;
+    }
+    if (heard.contains(c.id)) {
+      unheard_.erase(c.id);
+      continue;
+    }
+    const auto* type = ledger_.type(c.type);
+    const double boot = type ? type->boot.count() : 30.0;
+    if (c.state == protocol::CloudState::kStarting && c.age.count() < boot * 3) {
+      spdlog::info("machine {} ({}) is booting, rented by another life", c.id.get(), c.type);
+      booting_.push_back({c.id, c.type, c.zone, c.spot, wall_now - c.age.count()});
+      continue;
+    }
+    const Time since = unheard_.try_emplace(c.id, now).first->second;
+    if (base::between(std::max(since, followed_at_), now) >
+        settings_.worker_lease * 2.0 + settings_.list_lag) {
+      spdlog::info("machine {} is listed but reports to nobody: released", c.id.get());
+      to_release_.insert(c.id);
+    }
+  }
+  std::erase_if(unheard_, [&](const auto& u) { return !listed.contains(u.first); });
+}
+
+}  // namespace saddleslip::coordination
--- /dev/null
+++ b/src/coordination/controller.h
@@ -0,0 +1,205 @@
+// The decisions of one controller: state and `now` in, actions out. No socket, clock or thread.
+// Not safe for use from several threads at once: the owner locks.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bookkeeping/ledger.h"
+#include "bookkeeping/machines.h"
+#include "coordination/fleet.h"
+#include "coordination/view.h"
+
+namespace saddleslip::coordination {
+
+using base::Session;
+using base::TaskId;
+using base::TaskNo;
+using base::Version;
+using bookkeeping::Job;
+using bookkeeping::Ledger;
+using bookkeeping::Machine;
+using protocol::Command;
+using protocol::Item;
+using protocol::JobId;
+using protocol::MemberStatus;
+using protocol::Report;
+using protocol::Transaction;
+
+struct WorkerReply {
+  int status = 503;
+  std::string body;
+};
+
+// A direct order to a worker.
+struct Order {
+  MachineId machine;
+  std::string address;
+  Token token;
+  Session session;
+  std::vector<Command> commands;
+};
+
+// One batched record: committed first, acted upon after.
+struct RoundPlan {
+  Transaction txn;
+  struct Start {
+    TaskId task;
+    protocol::Held held;
+  };
+  std::vector<Start> starts;
+  struct End {
+    TaskId task;
+    MachineId machine;
+    std::string why;
+    bool done = false;
+  };
+  std::vector<End> ends;
+  bool more = false;  // what fits one transaction is not all
+  bool empty() const { return txn.writes.empty(); }
+};
+
+// The leader's word to a member that told its status.
+struct Instructions {
+  std::vector<MachineId> gone;   // released: they and all on them are gone
+  std::vector<MachineId> close;  // to be closed and given back if nothing is on them
+};
+
+class Controller {
+ public:
+  explicit Controller(const base::Settings& settings);
+
+  Ledger& ledger() { return ledger_; }
+  const Ledger& ledger() const { return ledger_; }
+
+  // --- membership
+  // A lease was taken: a new life. Until the view names it, nothing may be done.
+  void begin_life(Life life);
+  const Life& self() const { return self_; }
+  // The lease was renewed by a call sent at `sent`, and the store's view then had this version.
+  void renewed(Time sent, Version view);
+  void end_life();
+  // May this process answer workers and give them orders now?
+  bool entitled(Time now) const;
+  bool has_lease(Time now) const { return now < lease_until_; }
+  bool leads(Time now) const;
+  // After the ledger took in changes: follows a new view.
+  void follow(Time now);
+  // What leadership asks for: to take it, or to write a new view. At most one transaction.
+  std::optional<Transaction> tend_view(Time now, base::LeaseId lease);
+
+  // --- workers
+  WorkerReply hello(const Report& report, Time now);
+  void order_answered(const MachineId& machine, const std::optional<Report>& report, Time now);
+  void machines_gone(const std::vector<MachineId>& machines, Time now);
+  void close_idle(const std::vector<MachineId>& machines);
+
+  // --- rounds
+  void add_offers(const protocol::Offers& offers, Time now);
+  // Splits waiting tasks of this node's jobs among the parts; own shares go to its own pool.
+  std::map<MemberId, protocol::Offers> route(Time now);
+  RoundPlan plan(Time now);
+  // The plan was committed at this version: the starts to send at once.
+  std::vector<Order> committed(const RoundPlan& plan, Version version, Time now);
+  // Stops for tasks that are to go, to be sent at once rather than with the next report's answer.
+  std::vector<Order> stops(Time now);
+  std::optional<Transaction> finish_one();
+  std::optional<Transaction> sweep_orphans();
+
+  // --- siblings
+  MemberStatus status(Time now) const;
+  Instructions heard_status(const MemberStatus& status, Time now);
+  void sibling_reached(const MemberId& member, Time now) { reached_[member] = now; }
+  // Has another controller, heard of lately, a lease while this one has none?
+  bool others_have_state(Time now) const;
+
+  // --- fleet, for the leader
+  struct FleetActions {
+    FleetPlan plan;
+    std::vector<MachineId> release;
+  };
+  FleetActions plan_fleet(Time now, double wall_now);
+  void listed(const std::vector<protocol::CloudMachine>& machines, Time now, double wall_now);
+  void refused(const MachineKind& kind, Time now) { refused_[kind] = now; }
+  void rented(const MachineKind& kind, const std::vector<MachineId>& machines, double wall_now);
+  std::optional<Transaction> fleet_record() const;
+  void released(const std::vector<MachineId>& machines, Time now);
+
+ private:
+  struct Sibling {
+    MemberStatus status;
+    Time heard{};
+  };
+  struct PoolEntry {
+    JobId job;
+    std::vector<std::pair<TaskNo, TaskNo>> ranges;
+    Time until{};
+  };
+  struct Failures {
+    std::map<MachineId, Time> machines;
+  };
+
+  bool owns(const MachineId& machine) const;
+  bool fresh(const Machine& m, Time now) const;
+  void observe(const Report& report, Time now, bool is_hello);
+  std::vector<Command> reconcile(const Machine& m) const;
+  Resources free_room(const Machine& m, Resources* lower) const;
+  MachineRoom room_of(const Machine& m, Time now) const;
+  std::string zone_of(const MachineId& machine) const;
+  void collect_ends(Time now, std::vector<RoundPlan::End>& ends);
+  void failed(const JobId& job, Machine& m, Time now);
+  void housekeeping(Time now);
+  void count_arrivals(Time now);
+  void preempt(const std::vector<std::pair<const Job*, std::size_t>>& waiting, Time now);
+  int tier_of(const Job& job) const;
+  std::vector<std::pair<MemberId, std::vector<MachineRoom>>> parts(Time now) const;
+
+  const base::Settings& settings_;
+  Ledger ledger_;
+  Life self_;
+  bool alive_ = false;
+  Time lease_until_{};
+  Time authority_until_{};
+  Version authority_view_;
+  Version followed_view_;
+  Token base_token_;
+  Time followed_at_{};
+
+  std::map<MachineId, Machine> machines_;
+  std::map<MachineId, Time> owned_since_;  // for machines never heard: the base of lease proofs
+  std::map<MachineId, Session> dead_session_;
+  std::map<MachineId, Time> gone_;
+  std::map<TaskId, base::Attempt> absent_;  // withdrawn, and certainly never to start
+  std::map<MachineId, std::string> zones_;
+  std::map<std::pair<TaskId, std::uint64_t>, Time> stop_sent_;
+  std::set<MachineId> mute_;  // owned, silent, and to be released for proof
+  std::deque<PoolEntry> pool_;
+  std::map<TaskId, Time> offered_;
+  std::map<JobId, Failures> failures_;
+  std::map<JobId, Time> preempting_;
+
+  std::map<MemberId, Sibling> siblings_;
+  std::map<MemberId, Time> reached_;
+  std::map<MemberId, Time> member_since_;
+  std::set<MemberId> shunned_;
+  Time led_since_{};
+  bool led_ = false;
+
+  std::map<MachineKind, Time> refused_;
+  std::vector<protocol::Booting> booting_;
+  std::map<MachineId, Time> unheard_;  // listed, but reporting to nobody, since
+  std::set<MachineId> to_release_;
+  struct Arrivals {
+    protocol::JobSpec spec;
+    std::deque<std::pair<Time, TaskNo>> recent;
+  };
+  std::map<std::string, Arrivals> arrivals_;  // of services, by class
+  std::set<JobId> counted_;
+  std::map<MemberId, std::set<MachineId>> to_close_;
+};
+
+}  // namespace saddleslip::coordination
--- /dev/null
+++ b/src/coordination/fleet.h
@@ -0,0 +1,61 @@
+// How many machines of which kind: what to rent, what to give back. Run by the leader.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "bookkeeping/ledger.h"
+
+namespace saddleslip::coordination {
+
+using base::MachineId;
+using base::Seconds;
+using base::Time;
+using protocol::CloudMachine;
+using protocol::MachineRoom;
+using protocol::MachineType;
+using protocol::Resources;
+
+struct MachineKind {
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  auto operator<=>(const MachineKind&) const = default;
+};
+
+// Tasks that wait, or are expected, and are alike.
+struct Demand {
+  Resources need;
+  std::size_t count = 0;
+  int tier = 0;
+  const protocol::JobSpec* spec = nullptr;  // where it may run
+};
+
+struct FleetInput {
+  std::vector<Demand> demand;
+  std::vector<MachineRoom> machines;        // all that report to any controller
+  std::vector<protocol::Booting> booting;   // rented, not heard of yet
+  const std::vector<MachineType>* catalogue = nullptr;
+  std::map<MachineKind, Time> refused;      // when the cloud last had none
+  Seconds idle_return{40};
+  double spot_share = 1.0;
+  Time now{};
+};
+
+struct Rent {
+  MachineKind kind;
+  int count = 0;
+};
+
+struct FleetPlan {
+  std::vector<Rent> rent;
+  std::vector<MachineId> close;  // idle and not needed: to be closed by their owners, then released
+};
+
+FleetPlan plan_fleet(const FleetInput& in);
+
+bool may_run(const protocol::JobSpec& spec, const std::string& type, const std::string& zone,
+             bool spot);
+
+}  // namespace saddleslip::coordination
--- /dev/null
+++ b/src/coordination/intake.cpp
@@ -0,0 +1,76 @@
+#include "coordination/intake.h"
+
+#include <algorithm>
+
+#include "coordination/fleet.h"
+
+namespace saddleslip::coordination {
+
+using protocol::Kind;
+using protocol::Transaction;
+
+std::optional<std::string> never_runs(const protocol::JobSpec& spec, const base::Settings& settings,
+                                      const std::vector<protocol::MachineType>& catalogue) {
+  const auto team = settings.teams.find(spec.team);
+  if (team == settings.teams.end()) return "unknown team " + spec.team;
+  const bool fits = std::any_of(catalogue.begin(), catalogue.end(), [&](const auto& t) {
+    if (!t.size.fits(spec.need)) return false;
+    if (spec.types &&
+        std::find(spec.types->begin(), spec.types->end(), t.name) == spec.types->end()) {
+      return false;
+    }
+    return !spec.zone || std::find(t.zones.begin(), t.zones.end(), *spec.zone) != t.zones.end();
+  });
+  if (!fits) return std::string("a task fits no machine type that the job allows");
+  const double n = spec.kind == Kind::kService ? spec.tasks : 1;
+  const base::Team& limit = team->second;
+  if ((limit.cores_max > 0 && spec.need.cores() * n > limit.cores_max + 1e-6) ||
+      (limit.gpus_max > 0 && spec.need.gpus() * n > limit.gpus_max + 1e-6)) {
+    return "the job needs more than the limit of team " + spec.team;
+  }
+  return {};
+}
+
+Transaction acceptance(const protocol::JobSpec& spec, double wall_now) {
+  Transaction txn;
+  // Neither live nor over: an id is accepted once, whichever nodes its retries reach.
+  txn.guards[protocol::job_key(spec.id)] = base::Version(0);
+  txn.guards[protocol::final_key(spec.id)] = base::Version(0);
+  txn.writes.push_back(
+      {protocol::job_key(spec.id), to_json(protocol::JobRecord{spec, wall_now, false}), {}});
+  return txn;
+}
+
+Transaction withdrawal(const protocol::JobRecord& job, base::Version version) {
+  protocol::JobRecord next = job;
+  next.withdrawn = true;
+  Transaction txn;
+  // The version is the one that starts guard: none can be recorded after this.
+  txn.guards[protocol::job_key(job.spec.id)] = version;
+  txn.writes.push_back({protocol::job_key(job.spec.id), to_json(next), {}});
+  return txn;
+}
+
+std::optional<Transaction> finish(const bookkeeping::Job& job, std::size_t txn_ops) {
+  const auto& spec = job.record.spec;
+  const bool all_done = job.done == spec.tasks;
+  // A withdrawn job stays until nothing of it is on a machine: its tasks count for the team.
+  if (job.held > 0 || (!all_done && !job.record.withdrawn)) return {};
+  Transaction txn;
+  // A withdrawal between the last end and here wins: users were told so.
+  txn.guards[protocol::job_key(spec.id)] = job.version;
+  const auto state =
+      job.record.withdrawn ? protocol::JobStatus::kWithdrawn : protocol::JobStatus::kDone;
+  txn.writes.push_back({protocol::final_key(spec.id), protocol::final_record(state), {}});
+  txn.writes.push_back({protocol::job_key(spec.id), {}, {}});
+  for (std::size_t c = 0; c < job.chunks.size(); ++c) {
+    if (job.chunks[c].version.get() == 0) continue;
+    const std::string key = protocol::chunk_key(spec.id, static_cast<std::uint32_t>(c));
+    if (txn.writes.size() >= txn_ops) break;  // the rest is removed as orphans
+    txn.guards[key] = job.chunks[c].version;
+    txn.writes.push_back({key, {}, {}});
+  }
+  return txn;
+}
+
+}  // namespace saddleslip::coordination
--- /dev/null
+++ b/src/coordination/rounds.cpp
@@ -0,0 +1,530 @@
+// A round of one controller: ends become records, waiting tasks get machines, and one batched
+// record is made of both.
+#include <algorithm>
+#include <cmath>
+
+#include "base/log.h"
+#include "coordination/controller.h"
+#include "coordination/intake.h"
+#include "coordination/packing.h"
+
+namespace saddleslip::coordination {
+
+using protocol::Cause;
+using protocol::Kind;
+using protocol::Rank;
+using protocol::TaskState;
+
+namespace {
+
+constexpr Seconds kAvoidAfterFailure{30.0};
+constexpr Seconds kStopRepeat{2.0};
+constexpr Seconds kPreemptRepeat{6.0};
+constexpr std::size_t kMaxRecordBytes = 48 * 1024;  // a transaction holds 64 KiB in all
+
+}  // namespace
+
+int Controller::tier_of(const Job& job) const {
+  const auto& spec = job.record.spec;
+  const auto team = settings_.teams.find(spec.team);
+  const bool guaranteed =
+      team != settings_.teams.end() && team->second.cores > 0 &&
+      ledger_.team_use(spec.team).cores() + spec.need.cores() <= team->second.cores + 1e-6;
+  return static_cast<int>(spec.rank) * 2 + (guaranteed ? 0 : 1);
+}
+
+void Controller::add_offers(const protocol::Offers& offers, Time now) {
+  const Time until = base::after(now, settings_.tuning.round_period * 2.5);
+  for (const protocol::Offer& o : offers.offers) pool_.push_back({o.job, o.ranges, until});
+  // A home that repeats itself, or many of them, must not make this grow without bound.
+  while (pool_.size() > 4096) pool_.pop_front();
+}
+
+void Controller::failed(const JobId& job, Machine& m, Time now) {
+  auto& seen = failures_[job].machines;
+  seen[m.last.machine] = now;
+  // A job that fails wherever it is started says nothing against the machines.
+  if (seen.size() >= 3) return;
+  m.failed_jobs.insert(job);
+  ++m.errors;
+  const Job* j = ledger_.job(job);
+  const bool others_do_well = j && (j->done > 0 || j->held > 0);
+  if (!m.sick && m.errors >= 2 && (m.failed_jobs.size() >= 2 || others_do_well)) {
+    m.sick = true;
+    m.closed = true;
+    spdlog::warn("machine {} fails its tasks ({} failures of {} jobs): closed", m.last.machine.get(),
+                 m.errors, m.failed_jobs.size());
+  }
+}
+
+void Controller::collect_ends(Time now, std::vector<RoundPlan::End>& ends) {
+  const Seconds lease = settings_.worker_lease * (1.0 + base::kDrift) + Seconds(0.2);
+  for (const auto& [machine, tasks] : ledger_.held()) {
+    if (!owns(machine)) continue;
+    const auto at = machines_.find(machine);
+    const Time since = owned_since_.try_emplace(machine, now).first->second;
+    const bool gone = gone_.contains(machine);
+    Time last_answer = base::after(since, settings_.tuning.member_ttl);
+    if (at != machines_.end()) last_answer = std::max(last_answer, at->second.answered);
+    const bool expired = now > base::after(last_answer, lease);
+    for (const auto& [task, held] : tasks) {
+      if (gone) {
+        ends.push_back({task, machine, "machine released", false});
+        continue;
+      }
+      if (at != machines_.end()) {
+        const Machine& m = at->second;
+        if (held.session < m.last.session) {
+          ends.push_back({task, machine, "worker began a new session", false});
+          continue;
+        }
+        const auto reported = m.last.tasks.find(task);
+        if (held.session == m.last.session && reported != m.last.tasks.end()) {
+          const auto t = std::find_if(reported->second.begin(), reported->second.end(),
+                                      [&](const auto& r) { return r.attempt == held.attempt; });
+          if (t != reported->second.end() && t->state == TaskState::kEnded) {
+            const Job* job = ledger_.job(task.job);
+            const bool done = t->cause == Cause::kDone && job && job->record.spec.kind == Kind::kArray;
+            ends.push_back({task, machine, protocol::to_string(t->cause), done});
+            continue;
+          }
+        }
+        const auto absent = absent_.find(task);
+        if (absent != absent_.end() && absent->second == held.attempt) {
+          ends.push_back({task, machine, "never started", false});
+          continue;
+        }
+      }
+      if (expired) ends.push_back({task, machine, "worker's lease is certainly gone", false});
+    }
+    // The session is over even if the worker's own word for it comes later: old reports of it
+    // must not bring its tasks back.
+    if (expired && at != machines_.end()) {
+      auto& dead = dead_session_[machine];
+      dead = std::max(dead, at->second.last.session);
+    }
+  }
+}
+
+RoundPlan Controller::plan(Time now) {
+  RoundPlan plan;
+  if (!entitled(now)) return plan;
+  housekeeping(now);
+
+  struct Edit {
+    const Job* job;
+    std::uint32_t chunk;
+    protocol::ChunkRecord record;
+    bool started = false;
+  };
+  std::map<std::pair<JobId, std::uint32_t>, Edit> edits;
+  std::set<std::string> teams, serialized;
+  std::size_t bytes = 0;
+  const auto edit = [&](const JobId& id, TaskNo no) -> Edit* {
+    const std::uint32_t c = no / protocol::kChunk;
+    const auto found = edits.find({id, c});
+    if (found != edits.end()) return &found->second;
+    const Job* job = ledger_.job(id);
+    if (!job || edits.size() + teams.size() + serialized.size() + 1 > settings_.txn_ops) {
+      plan.more = true;
+      return nullptr;
+    }
+    bytes += 200 + job->chunks[c].record.held.size() * 48;
+    if (bytes > kMaxRecordBytes && !edits.empty()) {
+      plan.more = true;
+      return nullptr;
+    }
+    return &edits.emplace(std::pair(id, c), Edit{job, c, job->chunks[c].record, false}).first->second;
+  };
+
+  std::vector<RoundPlan::End> ends;
+  collect_ends(now, ends);
+  for (RoundPlan::End& end : ends) {
+    Edit* e = edit(end.task.job, end.task.no);
+    if (!e) continue;
+    e->record.held.erase(end.task.no);
+    if (end.done) e->record.done[end.task.no % protocol::kChunk] = true;
+    plan.ends.push_back(std::move(end));
+  }
+
+  // --- what waits
+  std::erase_if(pool_, [&](const PoolEntry& p) { return p.until < now; });
+  struct Waiting {
+    const Job* job;
+    std::vector<TaskNo> tasks;
+    std::map<std::string, TaskNo> zones;  // where its tasks are, for same_place and apart
+    bool zones_known = true;
+  };
+  std::vector<Waiting> waiting;
+  std::map<JobId, std::size_t> index;
+  for (const PoolEntry& p : pool_) {
+    const Job* job = ledger_.job(p.job);
+    if (!job || job->record.withdrawn) continue;
+    const auto [at, is_new] = index.try_emplace(p.job, waiting.size());
+    if (is_new) waiting.push_back({job, {}, {}, true});
+    Waiting& w = waiting[at->second];
+    for (const auto& [first, count] : p.ranges) {
+      for (TaskNo no = first; no - first < count && no < job->record.spec.tasks; ++no) {
+        const auto e = edits.find({p.job, no / protocol::kChunk});
+        const bool held = e == edits.end() ? job->holder(no) != nullptr
+                                           : e->second.record.held.contains(no);
+        const bool done = e == edits.end() ? job->is_done(no)
+                                           : e->second.record.done[no % protocol::kChunk];
+        if (!held && !done) w.tasks.push_back(no);
+      }
+    }
+    std::sort(w.tasks.begin(), w.tasks.end());
+    w.tasks.erase(std::unique(w.tasks.begin(), w.tasks.end()), w.tasks.end());
+  }
+  std::erase_if(waiting, [](const Waiting& w) { return w.tasks.empty(); });
+
+  std::vector<Bin> bins;
+  std::vector<Machine*> at_bin;
+  Resources scale;
+  for (auto& [id, m] : machines_) {
+    const auto* type = ledger_.type(m.last.type);
+    if (!type) continue;
+    for (std::size_t i = 0; i < scale.v.size(); ++i) {
+      scale.v[i] = std::max(scale.v[i], type->size.v[i]);
+    }
+    if (m.closed || !fresh(m, now)) continue;
+    bins.push_back({free_room(m, nullptr)});
+    at_bin.push_back(&m);
+  }
+
+  std::map<std::string, Resources> planned;  // by team, in this plan
+  std::vector<Group> groups;
+  for (Waiting& w : waiting) {
+    const auto& spec = w.job->record.spec;
+    if (spec.one_zone || spec.spread) {
+      for (std::size_t c = 0; c < w.job->chunks.size(); ++c) {
+        for (const auto& [no, held] : w.job->chunks[c].record.held) {
+          const std::string zone = zone_of(held.machine);
+          if (zone.empty()) w.zones_known = false;  // somewhere, and nobody said where: wait
+          ++w.zones[zone];
+        }
+      }
+    }
+    Group g;
+    g.need = spec.need;
+    g.count = w.tasks.size();
+    g.tier = tier_of(*w.job);
+    const auto failing = failures_.find(spec.id);
+    g.allowed = [&, failing](std::size_t b) {
+      const Report& r = at_bin[b]->last;
+      if (!may_run(spec, r.type, r.zone, r.spot) || w.tasks.empty()) return false;
+      if (failing != failures_.end()) {
+        const auto f = failing->second.machines.find(r.machine);
+        if (f != failing->second.machines.end() &&
+            base::between(f->second, now) < kAvoidAfterFailure) {
+          return false;
+        }
+      }
+      if (spec.one_zone || spec.spread) {
+        if (!w.zones_known) return false;
+        if (spec.one_zone && !w.zones.empty() && !w.zones.contains(r.zone)) return false;
+        const auto there = w.zones.find(r.zone);
+        if (spec.spread && there != w.zones.end() && there->second >= (spec.tasks + 1) / 2) {
+          return false;
+        }
+      }
+      if (ledger_.limited(spec.team)) {
+        const base::Team& team = settings_.teams.at(spec.team);
+        Resources use = ledger_.team_use(spec.team);
+        use += planned[spec.team];
+        use += spec.need;
+        if ((team.cores_max > 0 && use.cores() > team.cores_max + 1e-6) ||
+            (team.gpus_max > 0 && use.gpus() > team.gpus_max + 1e-6)) {
+          return false;
+        }
+      }
+      // An attempt that the machine still reports would be refused there as busy.
+      return std::any_of(w.tasks.begin(), w.tasks.end(), [&](TaskNo no) {
+        return !r.tasks.contains(TaskId{spec.id, no});
+      });
+    };
+    g.placed = [&](std::size_t b) {
+      const Report& r = at_bin[b]->last;
+      const auto no = std::find_if(w.tasks.begin(), w.tasks.end(), [&](TaskNo n) {
+        return !r.tasks.contains(TaskId{spec.id, n});
+      });
+      plan.starts.push_back({{spec.id, *no}, {r.machine, {}, r.session}});
+      w.tasks.erase(no);
+      ++w.zones[r.zone];
+      planned[spec.team] += spec.need;
+    };
+    groups.push_back(std::move(g));
+  }
+  pack(groups, bins, scale);
+
+  std::vector<RoundPlan::Start> kept;
+  for (RoundPlan::Start& s : plan.starts) {
+    const auto& spec = ledger_.job(s.task.job)->record.spec;
+    const std::string team = ledger_.limited(spec.team) ? protocol::team_key(spec.team) : "";
+    const bool one_by_one = (spec.one_zone || spec.spread) && spec.tasks > protocol::kChunk;
+    std::size_t extra = !team.empty() && !teams.contains(team) ? 1 : 0;
+    if (one_by_one && !serialized.contains(spec.id.get())) ++extra;
+    const std::uint32_t c = s.task.no / protocol::kChunk;
+    const bool has_edit = edits.contains({spec.id, c});
+    if (edits.size() + teams.size() + serialized.size() + extra + (has_edit ? 0 : 1) >
+        settings_.txn_ops) {
+      plan.more = true;
+      continue;
+    }
+    Edit* e = edit(spec.id, s.task.no);
+    if (!e) continue;
+    s.held.attempt = e->record.next;
+    e->started = true;
+    e->record.held[s.task.no] = s.held;
+    if (!team.empty()) teams.insert(team);
+    if (one_by_one) serialized.insert(spec.id.get());
+    kept.push_back(std::move(s));
+  }
+  plan.starts = std::move(kept);
+
+  std::vector<std::pair<const Job*, std::size_t>> left;
+  for (std::size_t g = 0; g < groups.size(); ++g) {
+    if (groups[g].count > 0) left.emplace_back(waiting[g].job, groups[g].count);
+  }
+  preempt(left, now);
+
+  if (edits.empty()) return plan;
+  plan.txn.guards[protocol::kViewKey] = followed_view_;
+  for (auto& [key, e] : edits) {
+    if (e.started) {
+      e.record.next = base::Attempt(e.record.next.get() + 1);
+      plan.txn.guards[protocol::job_key(key.first)] = e.job->version;
+    }
+    const std::string name = protocol::chunk_key(key.first, e.chunk);
+    plan.txn.guards[name] = e.job->chunks[e.chunk].version;
+    plan.txn.writes.push_back({name, to_json(e.record, e.job->chunk_first(e.chunk)), {}});
+  }
+  for (const std::string& team : teams) {
+    // Starts of a team with a limit stand in a row, whoever makes them: its use, as counted here,
+    // misses none that came before this version.
+    plan.txn.guards[team] = ledger_.version(team);
+    plan.txn.writes.push_back({team, to_json(self_), {}});
+  }
+  for (const std::string& id : serialized) {
+    const Job* job = ledger_.job(JobId(id));
+    plan.txn.writes.push_back({protocol::job_key(job->record.spec.id), to_json(job->record), {}});
+  }
+  return plan;
+}
+
+void Controller::preempt(const std::vector<std::pair<const Job*, std::size_t>>& waiting, Time now) {
+  std::erase_if(preempting_, [&](const auto& p) {
+    return base::between(p.second, now) > kPreemptRepeat || !ledger_.job(p.first);
+  });
+  for (const auto& [job, count] : waiting) {
+    const auto& spec = job->record.spec;
+    const bool guaranteed = tier_of(*job) % 2 == 0;
+    if ((spec.rank > Rank::kUrgent && !guaranteed) || preempting_.contains(spec.id)) continue;
+    if (ledger_.limited(spec.team)) {
+      const base::Team& team = settings_.teams.at(spec.team);
+      Resources use = ledger_.team_use(spec.team);
+      use += spec.need;
+      if (team.cores_max > 0 && use.cores() > team.cores_max + 1e-6) continue;
+    }
+    const auto may_stop = [&](const Job& other) {
+      const auto& o = other.record.spec;
+      if (o.rank > spec.rank) return true;
+      const auto team = settings_.teams.find(o.team);
+      return guaranteed && o.team != spec.team && team != settings_.teams.end() &&
+             ledger_.team_use(o.team).cores() > team->second.cores + 1e-6 &&
+             o.kind == Kind::kArray;
+    };
+    std::size_t left = count;
+    std::map<MachineId, Resources> taken;
+    while (left > 0) {
+      // The machine on which the least work is lost.
+      Machine* best = nullptr;
+      std::vector<TaskId> victims;
+      double least = 0;
+      for (auto& [id, m] : machines_) {
+        if (m.closed || !fresh(m, now) || !may_run(spec, m.last.type, m.last.zone, m.last.spot)) {
+          continue;
+        }
+        struct Victim {
+          TaskId task;
+          Resources need;
+          double lost;
+        };
+        std::vector<Victim> candidates;
+        for (const auto& [task, held] : ledger_.held_by(id)) {
+          const Job* other = ledger_.job(task.job);
+          if (!other || other->record.withdrawn || m.evict.contains(task) || !may_stop(*other)) {
+            continue;
+          }
+          const auto ran = m.ran.find(task);
+          const double lost = ran == m.ran.end() ? 0 : base::between(ran->second, now).count();
+          candidates.push_back({task, other->record.spec.need, lost});
+        }
+        std::sort(candidates.begin(), candidates.end(),
+                  [](const Victim& a, const Victim& b) { return a.lost < b.lost; });
+        Resources room = free_room(m, nullptr);
+        for (const TaskId& t : m.evict) {
+          if (const Job* other = ledger_.job(t.job)) room += other->record.spec.need;
+        }
+        room -= taken[id];
+        double lost = 0;
+        std::vector<TaskId> chosen;
+        for (const Victim& v : candidates) {
+          if (room.fits(spec.need)) break;
+          room += v.need;
+          lost += v.lost * v.need.cores();
+          chosen.push_back(v.task);
+        }
+        if (!room.fits(spec.need)) continue;
+        if (!best || lost < least) {
+          best = &m;
+          least = lost;
+          victims = chosen;
+        }
+      }
+      if (!best) break;
+      taken[best->last.machine] += spec.need;
+      for (const TaskId& v : victims) {
+        spdlog::info("{}/{} on {} is stopped to make room for {}", v.job.get(), v.no,
+                     best->last.machine.get(), spec.id.get());
+        best->evict.insert(v);
+      }
+      preempting_[spec.id] = now;
+      --left;
+    }
+  }
+}
+
+std::vector<Order> Controller::committed(const RoundPlan& plan, Version version, Time now) {
+  std::vector<Order> orders;
+  for (const auto& w : plan.txn.writes) {
+    ledger_.apply({w.key, w.value ? *w.value : protocol::Json(), version}, now);
+  }
+  for (const RoundPlan::End& end : plan.ends) {
+    absent_.erase(end.task);
+    spdlog::debug("{}/{} on {} is over: {}", end.task.job.get(), end.task.no, end.machine.get(),
+                  end.why);
+    const auto at = machines_.find(end.machine);
+    if (at == machines_.end()) continue;
+    if (end.done) {
+      at->second.errors = 0;
+      at->second.failed_jobs.clear();
+      failures_.erase(end.task.job);
+    } else if (end.why == protocol::to_string(Cause::kError)) {
+      failed(end.task.job, at->second, now);
+    }
+  }
+  std::map<MachineId, Order> by_machine;
+  for (const RoundPlan::Start& s : plan.starts) {
+    const auto at = machines_.find(s.held.machine);
+    if (at == machines_.end() || at->second.last.session != s.held.session) continue;
+    Machine& m = at->second;
+    Order& o = by_machine[s.held.machine];
+    o.machine = s.held.machine;
+    o.address = m.last.address;
+    o.token = m.token;
+    o.session = m.last.session;
+    o.commands.push_back({Command::Op::kRun, s.task, s.held.attempt, {}});
+    m.idle_since = now;
+    spdlog::debug("{}/{} goes to {} as attempt {}", s.task.job.get(), s.task.no,
+                  s.held.machine.get(), s.held.attempt.get());
+  }
+  for (auto& [id, o] : by_machine) {
+    Machine& m = machines_.at(id);
+    // A token of its own for each order that starts something: once the worker has shown the next
+    // one, no copy of this order, however late, is carried out.
+    m.token = Token(m.token.get() + 1);
+    m.floor = m.token;
+    orders.push_back(std::move(o));
+  }
+  return orders;
+}
+
+std::vector<Order> Controller::stops(Time now) {
+  std::vector<Order> orders;
+  if (!entitled(now)) return orders;
+  std::erase_if(stop_sent_,
+                [&](const auto& s) { return base::between(s.second, now) > kStopRepeat; });
+  for (const auto& [id, m] : machines_) {
+    if (!fresh(m, now)) continue;
+    Order o{id, m.last.address, m.token, m.last.session, {}};
+    for (const Command& c : reconcile(m)) {
+      if (c.op == Command::Op::kKill &&
+          stop_sent_.try_emplace({c.task, c.attempt.get()}, now).second) {
+        o.commands.push_back(c);
+      }
+    }
+    if (!o.commands.empty()) orders.push_back(std::move(o));
+  }
+  return orders;
+}
+
+void Controller::housekeeping(Time now) {
+  const Seconds quiet = settings_.tuning.mute_release.count() > 0
+                            ? settings_.tuning.mute_release
+                            : std::max(settings_.report_every * 2.5 + Seconds(2.0),
+                                       settings_.worker_lease * 0.35);
+  std::set<MachineId> mute;
+  std::size_t owned = machines_.size();
+  for (auto& [id, m] : machines_) {
+    bool active = !ledger_.held_by(id).empty();
+    for (const auto& [task, attempts] : m.last.tasks) {
+      for (const auto& t : attempts) active = active || t.state != TaskState::kEnded;
+    }
+    m.give_back = m.closed && !active;
+    const bool overdue = m.taken_at && now > *m.taken_at;
+    if (base::between(m.heard, now) > (overdue ? settings_.report_every * 2.0 : quiet)) {
+      mute.insert(id);
+    }
+  }
+  for (const auto& [id, tasks] : ledger_.held()) {
+    if (!owns(id) || machines_.contains(id) || gone_.contains(id)) continue;
+    ++owned;
+    const Time since = owned_since_.try_emplace(id, now).first->second;
+    // Workers whose node is gone need a while to find their new one.
+    if (base::between(since, now) > quiet + Seconds(6.0)) mute.insert(id);
+  }
+  // One silent machine is most likely dead, and its release is the quickest proof. When many fall
+  // silent at once the network is: they may all be well, and come back.
+  const bool few = mute.size() <= std::max<std::size_t>(1, owned / 5);
+  std::set<MachineId> next;
+  for (const MachineId& id : mute) {
+    const auto at = machines_.find(id);
+    const Time since = at != machines_.end() ? at->second.heard : owned_since_[id];
+    if (few || mute_.contains(id) || base::between(since, now) > settings_.worker_lease * 6.0) {
+      if (!mute_.contains(id)) spdlog::info("machine {} is silent: to be released", id.get());
+      next.insert(id);
+    }
+  }
+  mute_ = std::move(next);
+  std::erase_if(failures_, [&](const auto& f) { return !ledger_.job(f.first); });
+  std::erase_if(absent_, [&](const auto& a) { return !ledger_.job(a.first.job); });
+  std::erase_if(zones_, [&](const auto& z) { return gone_.contains(z.first); });
+}
+
+std::optional<Transaction> Controller::finish_one() {
+  if (!alive_ || !ledger_.view()) return {};
+  for (const auto& [id, job] : ledger_.jobs()) {
+    if (!job.record.withdrawn && job.done < job.record.spec.tasks) continue;
+    const Life* home = owner_of(*ledger_.view(), id.get());
+    if (!home || *home != self_) continue;
+    if (auto txn = finish(job, settings_.txn_ops)) return txn;
+  }
+  return {};
+}
+
+std::optional<Transaction> Controller::sweep_orphans() {
+  if (!alive_ || !ledger_.view() || ledger_.orphans().empty()) return {};
+  Transaction txn;
+  for (const auto& [key, version] : ledger_.orphans()) {
+    const Life* home = owner_of(*ledger_.view(), key);
+    if (!home || *home != self_) continue;
+    if (txn.writes.size() >= std::min<std::size_t>(settings_.txn_ops, 8)) break;
+    txn.guards[key] = version;
+    txn.writes.push_back({key, {}, {}});
+  }
+  if (txn.writes.empty()) return {};
+  return txn;
+}
+
+}  // namespace saddleslip::coordination
--- /dev/null
+++ b/src/coordination/view.cpp
@@ -0,0 +1,64 @@
+#include "coordination/view.h"
+
+#include <algorithm>
+
+namespace saddleslip::coordination {
+
+namespace {
+
+std::uint64_t hash(const std::string& a, const std::string& b) {
+  std::uint64_t h = 1469598103934665603ull;  // FNV-1a, then a finisher that spreads the last bytes
+  const auto mix = [&h](const std::string& s) {
+    for (const char c : s) {
+      h ^= static_cast<unsigned char>(c);
+      h *= 1099511628211ull;
+    }
+    h ^= 0xff;
+    h *= 1099511628211ull;
+  };
+  mix(a);
+  mix(b);
+  h ^= h >> 33;
+  h *= 0xff51afd7ed558ccdull;
+  h ^= h >> 33;
+  h *= 0xc4ceb9fe1a85ec53ull;
+  h ^= h >> 33;
+  return h;
+}
+
+}  // namespace
+
+const Life* owner_of(const View& view, const std::string& name) {
+  const Life* best = nullptr;
+  std::uint64_t most = 0;
+  for (const Life& m : view.members) {
+    const std::uint64_t h = hash(m.member.get(), name);
+    if (!best || h > most) {
+      best = &m;
+      most = h;
+    }
+  }
+  return best;
+}
+
+std::optional<View> wanted_view(const std::map<MemberId, Life>& members,
+                                const std::optional<View>& present,
+                                const std::set<MemberId>& shunned) {
+  View next;
+  for (const auto& [id, life] : members) {
+    if (!shunned.contains(id)) next.members.push_back(life);
+  }
+  if (next.members.empty()) return {};
+  if (present) {
+    next.epoch = present->epoch;
+    if (next == *present) return {};
+  }
+  next.epoch = Epoch(next.epoch.get() + 1);
+  return next;
+}
+
+bool has_member(const View& view, const Life& life) {
+  return std::find(view.members.begin(), view.members.end(), life) != view.members.end();
+}
+
+}  // namespace saddleslip::coordination
--- /dev/null
+++ b/src/coordination/view.h
@@ -0,0 +1,33 @@
+// Members, the view, and the parts: which member owns a machine, which one is a job's home.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include "bookkeeping/ledger.h"
+
+namespace saddleslip::coordination {
+
+using base::Epoch;
+using base::MachineId;
+using base::MemberId;
+using base::Token;
+using protocol::Life;
+using protocol::View;
+
+// Rendezvous hash: a change of the members moves only the parts of those who came or went.
+const Life* owner_of(const View& view, const std::string& name);
+
+// The first token of an epoch. Above it there is room for a token for each direct order.
+inline constexpr int kEpochBits = 24;
+inline Token first_token(Epoch epoch) { return Token(epoch.get() << kEpochBits); }
+
+// The view that the members' keys ask for, or none if the present one is right.
+std::optional<View> wanted_view(const std::map<MemberId, Life>& members,
+                                const std::optional<View>& present,
+                                const std::set<MemberId>& shunned);
+
+bool has_member(const View& view, const Life& life);
+
+}  // namespace saddleslip::coordination
--- /dev/null
+++ b/src/node.cpp
@@ -0,0 +1,746 @@
+#include "node.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "coordination/intake.h"
+
+namespace saddleslip {
+
+using base::JobId;
+using base::Version;
+using protocol::Json;
+using protocol::StateClient;
+using protocol::Transaction;
+using Outcome = StateClient::Outcome;
+
+namespace {
+
+using base::Seconds;
+
+constexpr Seconds kUserCall{1.2};   // users wait 2 s for a status
+constexpr Seconds kStateCall{1.5};
+constexpr Seconds kShortPause{0.2};
+constexpr Seconds kLeastGap{0.03};  // between two rounds: what comes in a burst shares one
+constexpr std::size_t kMostOrders = 512;
+
+base::Time now() { return base::SteadyClock::now(); }
+
+void pause(Seconds s) { std::this_thread::sleep_for(s); }
+
+transport::Reply error(int status, const std::string& reason, int retry_after_s = 0) {
+  return {status, protocol::error_body(reason), retry_after_s};
+}
+
+transport::Reply try_later(const std::string& reason) { return error(503, reason, 1); }
+
+transport::Reply known_final(const JobId& id, protocol::JobStatus status) {
+  return {200, protocol::user_status(id, status), 0};
+}
+
+}  // namespace
+
+void Node::Bell::ring() {
+  {
+    const std::lock_guard lock(mutex_);
+    if (is_rung_) return;
+    is_rung_ = true;
+  }
+  rung_.notify_one();
+}
+
+bool Node::Bell::wait(Seconds most) {
+  std::unique_lock lock(mutex_);
+  const bool rung = rung_.wait_for(lock, most, [this] { return is_rung_; });
+  is_rung_ = false;
+  return rung;
+}
+
+Node::Node(base::Settings settings)
+    : settings_(std::move(settings)),
+      state_(settings_.state),
+      cloud_(settings_.cloud),
+      controller_(settings_) {
+  for (const base::Sibling& s : settings_.siblings) {
+    siblings_.push_back(std::make_unique<Sibling>(s));
+  }
+}
+
+Node::~Node() = default;
+
+void Node::start() {
+  const int most = settings_.tuning.max_connections > 0 ? settings_.tuning.max_connections
+                                                        : settings_.sockets * 6 / 10;
+  server_ = std::make_unique<transport::HttpServer>(
+      settings_.listen, most, [this](const Request& r) { return serve(r); });
+  peer_server_ = std::make_unique<transport::HttpServer>(
+      settings_.peer_listen, std::max(16, settings_.sockets / 20),
+      [this](const Request& r) { return serve_sibling(r); });
+  threads_.emplace_back([this] { watch(); });
+  threads_.emplace_back([this] { beat(); });
+  threads_.emplace_back([this] { rounds(); });
+  threads_.emplace_back([this] { fleet(); });
+  for (int i = 0; i < 4; ++i) threads_.emplace_back([this] { send_orders(); });
+  for (auto& s : siblings_) threads_.emplace_back([this, &s] { tell_sibling(*s); });
+  spdlog::info("{} serves on {}, siblings on {}", settings_.member.get(), settings_.listen.str(),
+               settings_.peer_listen.str());
+}
+
+void Node::wait() {
+  for (auto& t : threads_) t.join();
+}
+
+// --- users and workers
+
+Node::Reply Node::serve(const Request& req) {
+  static const std::string kSubmissions = "/submissions";
+  static const std::string kWithdraw = "/withdraw";
+  const auto wrong_method = [] { return error(405, "wrong method"); };
+  if (req.path == "/hello") return req.method == "POST" ? hello(req.body) : wrong_method();
+  if (req.path == "/ready") return req.method == "GET" ? ready() : wrong_method();
+  if (req.path == kSubmissions) return req.method == "POST" ? submit(req.body) : wrong_method();
+  if (req.path.compare(0, kSubmissions.size() + 1, kSubmissions + "/") == 0) {
+    std::string id = req.path.substr(kSubmissions.size() + 1);
+    const bool is_withdrawal = id.size() > kWithdraw.size() &&
+                               id.compare(id.size() - kWithdraw.size(), std::string::npos,
+                                          kWithdraw) == 0;
+    if (is_withdrawal) id.resize(id.size() - kWithdraw.size());
+    if (!protocol::valid_job_id(id)) return error(404, "no such job");
+    if (is_withdrawal) return req.method == "POST" ? withdraw(JobId(id)) : wrong_method();
+    return req.method == "GET" ? status(JobId(id)) : wrong_method();
+  }
+  return error(404, "no such path");
+}
+
+Node::Reply Node::ready() {
+  const Time t = now();
+  const bool ok = loaded_ && locked([&](coordination::Controller& c) {
+    if (c.ledger().catalogue().empty()) return false;
+    // In an outage of the state service all are alike, and being passed over would only outlast
+    // it. A node that alone is refused should be passed over.
+    return c.has_lease(t) || (was_ready_ && !c.others_have_state(t));
+  });
+  if (ok) was_ready_ = true;
+  return ok ? Reply{200, R"({"ready":true})", 0} : error(503, "not ready", 1);
+}
+
+Node::Known Node::look_up(const JobId& id, Reply& reply) {
+  const auto cached = locked([&](coordination::Controller& c) { return c.ledger().final_state(id); });
+  if (cached) {
+    reply = known_final(id, *cached);
+    return Known::kYes;
+  }
+  // Another node may have told more than this one has heard of: the store decides. A live record
+  // only ever becomes a final one, so reading them in this order misses neither.
+  const auto live = state_.get(protocol::job_key(id), kUserCall);
+  if (!live.answered) return Known::kCantTell;
+  if (live.item.version.get() != 0) {
+    const auto record = protocol::parse_job(live.item.value);
+    if (!record) return Known::kCantTell;
+    if (record->withdrawn) {
+      reply = known_final(id, protocol::JobStatus::kWithdrawn);
+      return Known::kYes;
+    }
+    const auto [done, held] = locked([&](coordination::Controller& c) {
+      c.ledger().apply(live.item, now());
+      const auto* job = c.ledger().job(id);
+      return job ? std::pair(job->done, job->held) : std::pair(0u, 0u);
+    });
+    reply = {200,
+             protocol::user_status(id,
+                                   held > 0 ? protocol::JobStatus::kRunning
+                                            : protocol::JobStatus::kQueued,
+                                   done, held),
+             0};
+    return Known::kYes;
+  }
+  const auto over = state_.get(protocol::final_key(id), kUserCall);
+  if (!over.answered) return Known::kCantTell;
+  if (over.item.version.get() == 0) return Known::kNo;
+  const auto final_state = protocol::parse_final(over.item.value);
+  if (!final_state) return Known::kCantTell;
+  locked([&](coordination::Controller& c) { c.ledger().remember_final(id, *final_state); });
+  reply = known_final(id, *final_state);
+  return Known::kYes;
+}
+
+Node::Reply Node::submit(const std::string& body) {
+  const auto parsed = protocol::parse_submission(body);
+  Reply reply;
+  if (const auto* why = std::get_if<std::string>(&parsed)) {
+    // An accepted id stays accepted, whatever a later body looks like.
+    const Json root = Json::parse(body, nullptr, false);
+    if (root.is_object() && root.contains("name_id") && root.at("name_id").is_string() &&
+        protocol::valid_job_id(root.at("name_id").get<std::string>())) {
+      const auto known = look_up(JobId(root.at("name_id").get<std::string>()), reply);
+      if (known == Known::kYes) return reply;
+      if (known == Known::kCantTell) return try_later("the state service does not answer");
+    }
+    return error(400, *why);
+  }
+  const auto& spec = std::get<protocol::JobSpec>(parsed);
+  struct View {
+    bool known, undecided;
+    std::optional<std::string> never;
+  };
+  const View v = locked([&](coordination::Controller& c) {
+    const auto& ledger = c.ledger();
+    return View{ledger.job(spec.id) || ledger.final_state(spec.id), ledger.catalogue().empty(),
+                coordination::never_runs(spec, settings_, ledger.catalogue())};
+  });
+  if (v.known || v.undecided || v.never) {
+    const auto known = look_up(spec.id, reply);
+    if (known == Known::kYes) return reply;
+    if (known == Known::kCantTell) return try_later("the state service does not answer");
+    if (v.undecided) return try_later("the machine types are not known yet");
+    if (v.never) return error(422, *v.never);
+  }
+  const Transaction txn = coordination::acceptance(spec, base::wall_seconds());
+  const auto done = state_.commit(txn, kStateCall);
+  switch (done.outcome) {
+    case Outcome::kDone:
+      locked([&](coordination::Controller& c) {
+        c.ledger().apply({txn.writes[0].key, *txn.writes[0].value, Version(done.revision.get())},
+                         now());
+      });
+      round_bell_.ring();
+      return {201, protocol::user_status(spec.id, protocol::JobStatus::kQueued), 0};
+    case Outcome::kRefused:
+      return try_later("the state service is over its limit or out of service");
+    default:
+      // Taken before, or perhaps just now.
+      if (look_up(spec.id, reply) == Known::kYes) return reply;
+      return try_later("the state service did not answer");
+  }
+}
+
+Node::Reply Node::status(const JobId& id) {
+  Reply reply;
+  switch (look_up(id, reply)) {
+    case Known::kYes:
+      return reply;
+    case Known::kNo:
+      return error(404, "no such job");
+    default:
+      return try_later("the state service does not answer");
+  }
+}
+
+Node::Reply Node::withdraw(const JobId& id) {
+  for (int i = 0; i < 3; ++i) {
+    if (const auto f = locked([&](auto& c) { return c.ledger().final_state(id); })) {
+      return known_final(id, *f);
+    }
+    const auto live = state_.get(protocol::job_key(id), kUserCall);
+    if (!live.answered) break;
+    if (live.item.version.get() == 0) {
+      Reply reply;
+      const auto known = look_up(id, reply);
+      if (known == Known::kYes) return reply;
+      if (known == Known::kNo) return error(404, "no such job");
+      break;
+    }
+    const auto record = protocol::parse_job(live.item.value);
+    if (!record) break;
+    if (record->withdrawn) return known_final(id, protocol::JobStatus::kWithdrawn);
+    const Transaction txn = coordination::withdrawal(*record, live.item.version);
+    const auto done = state_.commit(txn, kStateCall);
+    if (done.outcome == Outcome::kRefused) break;
+    if (done.outcome != Outcome::kDone) continue;  // changed meanwhile, or no answer: look again
+    locked([&](coordination::Controller& c) {
+      c.ledger().apply({txn.writes[0].key, *txn.writes[0].value, Version(done.revision.get())},
+                       now());
+    });
+    spdlog::info("{} withdrawn", id.get());
+    round_bell_.ring();
+    return known_final(id, protocol::JobStatus::kWithdrawn);
+  }
+  return try_later("the state service does not answer");
+}
+
+Node::Reply Node::hello(const std::string& body) {
+  const auto report = protocol::parse_report(body);
+  if (!report) return error(400, "not a report");
+  bool news = false;
+  const auto reply = locked([&](coordination::Controller& c) {
+    auto r = c.hello(*report, now());
+    if (r.status == 200) {
+      news = std::any_of(report->tasks.begin(), report->tasks.end(), [](const auto& t) {
+        return std::any_of(t.second.begin(), t.second.end(), [](const auto& a) {
+          return a.state == protocol::TaskState::kEnded;
+        });
+      });
+      news = news || report->tasks.empty();
+    }
+    return r;
+  });
+  if (news) round_bell_.ring();
+  return {reply.status, reply.body, 0};
+}
+
+// --- siblings
+
+Node::Reply Node::serve_sibling(const Request& req) {
+  if (req.path != "/sibling" || req.method != "POST") return error(404, "no such path");
+  const Json body = Json::parse(req.body, nullptr, false);
+  if (!body.is_object() || !body.contains("status")) return error(400, "malformed");
+  const auto status = protocol::parse_status(body.at("status"));
+  if (!status) return error(400, "malformed");
+  std::vector<protocol::Offers> offers;
+  if (body.contains("offers") && body.at("offers").is_array()) {
+    for (const Json& o : body.at("offers")) {
+      if (auto parsed = protocol::parse_offers(o)) offers.push_back(std::move(*parsed));
+    }
+  }
+  const auto said = locked([&](coordination::Controller& c) {
+    for (const auto& o : offers) c.add_offers(o, now());
+    return c.heard_status(*status, now());
+  });
+  if (!offers.empty()) round_bell_.ring();
+  Json gone = Json::array(), close = Json::array();
+  for (const auto& id : said.gone) gone.push_back(id.get());
+  for (const auto& id : said.close) close.push_back(id.get());
+  return {200, Json{{"gone", std::move(gone)}, {"close", std::move(close)}}.dump(), 0};
+}
+
+void Node::tell_sibling(Sibling& sibling) {
+  const Seconds period = settings_.tuning.round_period * 0.7;
+  for (;;) {
+    sibling.bell.wait(period);
+    std::vector<protocol::Offers> offers;
+    {
+      const std::lock_guard lock(sibling.mutex);
+      offers.swap(sibling.offers);
+    }
+    Json body = {{"status", to_json(locked([](auto& c) { return c.status(now()); }))}};
+    if (!offers.empty()) {
+      body["offers"] = Json::array();
+      for (const auto& o : offers) body["offers"].push_back(to_json(o));
+    }
+    const auto answer = sibling.http.post("/sibling", body.dump(), Seconds(1.0));
+    if (!answer.ok()) {
+      pause(kShortPause);
+      continue;
+    }
+    const Json said = Json::parse(answer.body, nullptr, false);
+    const auto ids = [&said](const char* field) {
+      std::vector<base::MachineId> out;
+      if (said.is_object() && said.contains(field) && said.at(field).is_array()) {
+        for (const Json& id : said.at(field)) {
+          if (id.is_string()) out.emplace_back(id.get<std::string>());
+        }
+      }
+      return out;
+    };
+    const auto gone = ids("gone");
+    locked([&](coordination::Controller& c) {
+      c.sibling_reached(sibling.id, now());
+      c.machines_gone(gone, now());
+      c.close_idle(ids("close"));
+    });
+    if (!gone.empty()) round_bell_.ring();
+  }
+}
+
+// --- the state service
+
+void Node::beat() {
+  const Seconds ttl = settings_.tuning.member_ttl;
+  const Seconds period = ttl / 4.0, timeout = std::min(Seconds(1.0), ttl / 4.0);
+  for (;;) {
+    std::optional<base::LeaseId> lease = locked([this](auto&) { return lease_; });
+    if (!loaded_) {
+      beat_bell_.wait(kShortPause);
+      continue;
+    }
+    if (!lease) {
+      const Time sent = now();
+      lease = state_.create_lease(ttl, timeout);
+      if (!lease) {
+        beat_bell_.wait(kShortPause * 2.0);
+        continue;
+      }
+      const protocol::Life life{settings_.member, base::Incarnation(lease->get())};
+      const std::string key = protocol::member_key(life.member);
+      Transaction txn;
+      txn.writes.push_back({key, to_json(life), lease});
+      const auto done = state_.commit(txn, kStateCall);
+      if (done.outcome != Outcome::kDone) {
+        state_.delete_lease(*lease, timeout);
+        beat_bell_.wait(kShortPause * 2.0);
+        continue;
+      }
+      const std::lock_guard lock(mutex_);
+      lease_ = lease;
+      controller_.begin_life(life);
+      controller_.ledger().apply({key, to_json(life), Version(done.revision.get())}, now());
+      controller_.renewed(sent, Version(0));
+      spdlog::info("member {} begins life {}", life.member.get(), life.life.get());
+    }
+    const Time sent = now();
+    const auto renewed = state_.renew_lease(*lease, timeout);
+    if (renewed == StateClient::Renewed::kGone) {
+      const std::lock_guard lock(mutex_);
+      spdlog::warn("the member's lease is gone: nothing is done until a view names a new life");
+      lease_.reset();
+      controller_.end_life();
+      continue;
+    }
+    if (renewed == StateClient::Renewed::kYes) {
+      const auto view = state_.get(protocol::kViewKey, timeout);
+      if (view.answered) {
+        locked([&](coordination::Controller& c) {
+          c.renewed(sent, view.item.version);
+          c.follow(now());
+        });
+      }
+    }
+    const auto txn = locked([&](auto& c) { return c.tend_view(now(), *lease); });
+    if (txn) {
+      const auto done = state_.commit(*txn, kStateCall);
+      if (done.outcome == Outcome::kDone) {
+        locked([&](coordination::Controller& c) {
+          for (const auto& w : txn->writes) {
+            c.ledger().apply({w.key, w.value ? *w.value : Json(), Version(done.revision.get())},
+                             now());
+          }
+          c.follow(now());
+        });
+        round_bell_.ring();
+        fleet_bell_.ring();
+        continue;
+      }
+      if (done.outcome == Outcome::kConflict) refresh(done.failed);
+    }
+    round_bell_.ring();
+    beat_bell_.wait(period);
+  }
+}
+
+bool Node::load() {
+  std::vector<protocol::Item> items;
+  base::Revision from;
+  bool first = true;
+  for (const std::string& prefix : {protocol::kMembers, protocol::kJobs, protocol::kChunks,
+                                    protocol::kTeams}) {
+    std::string after;
+    for (;;) {
+      auto page = state_.list(prefix, after, Seconds(5.0));
+      if (!page.answered) return false;
+      if (first) from = page.revision;
+      first = false;
+      if (!page.items.empty()) after = page.items.back().key;
+      const bool more = page.more && !page.items.empty();
+      std::move(page.items.begin(), page.items.end(), std::back_inserter(items));
+      if (!more) break;
+    }
+  }
+  for (const std::string& key : {protocol::kViewKey, protocol::kLeadKey, protocol::kCatalogueKey,
+                                 protocol::kFleetKey}) {
+    auto got = state_.get(key, Seconds(2.0));
+    if (!got.answered) return false;
+    if (got.item.version.get() != 0) items.push_back(std::move(got.item));
+  }
+  locked([&](coordination::Controller& c) {
+    c.ledger().clear();
+    for (const auto& item : items) c.ledger().apply(item, now());
+    c.ledger().caught_up(from);
+  });
+  return true;
+}
+
+void Node::watch() {
+  bool ready = false;
+  for (;;) {
+    if (!ready) {
+      if (!load()) {
+        pause(kShortPause * 2.0);
+        continue;
+      }
+      ready = true;
+    }
+    const auto after = locked([](auto& c) { return c.ledger().revision(); });
+    // The first look after a load must not wait: it brings the copy up to the load's end.
+    const auto w = state_.watch(protocol::kAll, after, loaded_ ? Seconds(10.0) : Seconds(0));
+    using What = StateClient::Watched::What;
+    if (w.what == What::kTooOld) {
+      spdlog::warn("the watch fell too far behind: reading everything again");
+      ready = false;
+      continue;
+    }
+    if (w.what == What::kNothing) {
+      pause(kShortPause);
+      continue;
+    }
+    bool members = false, changed = false;
+    locked([&](coordination::Controller& c) {
+      for (const auto& e : w.events) {
+        if (!c.ledger().apply(e, now())) continue;
+        changed = true;
+        members = members || e.key == protocol::kViewKey || e.key == protocol::kLeadKey ||
+                  e.key.compare(0, protocol::kMembers.size(), protocol::kMembers) == 0;
+      }
+      c.ledger().caught_up(w.revision);
+      c.follow(now());
+    });
+    if (!loaded_) {
+      loaded_ = true;
+      members = true;
+    }
+    if (members) beat_bell_.ring();
+    if (changed) round_bell_.ring();
+  }
+}
+
+void Node::refresh(const std::vector<std::string>& keys) {
+  for (const std::string& key : keys) {
+    auto got = state_.get(key, kUserCall);
+    if (!got.answered) return;
+    locked([&](coordination::Controller& c) {
+      if (got.item.version.get() != 0) {
+        c.ledger().apply(got.item, now());
+      }
+      c.follow(now());
+    });
+    if (key == protocol::kViewKey) beat_bell_.ring();
+  }
+}
+
+bool Node::commit(const Transaction& txn, Seconds timeout) {
+  const auto done = state_.commit(txn, timeout);
+  if (done.outcome == Outcome::kDone) {
+    locked([&](coordination::Controller& c) {
+      for (const auto& w : txn.writes) {
+        c.ledger().apply({w.key, w.value ? *w.value : Json(), Version(done.revision.get())}, now());
+      }
+    });
+    return true;
+  }
+  if (done.outcome == Outcome::kConflict) refresh(done.failed);
+  return false;
+}
+
+// --- rounds
+
+void Node::pay_writes(std::size_t n) {
+  // This node's share of the store's write rate, with a second's worth saved up at most.
+  const double rate = settings_.state_write_rps * 0.8 / std::max(1, settings_.size);
+  const Time t = now();
+  write_credit_ = std::min(rate, write_credit_ + base::between(write_credit_at_, t).count() * rate);
+  write_credit_at_ = t;
+  write_credit_ -= static_cast<double>(n);
+  if (write_credit_ < 0) pause(Seconds(-write_credit_ / rate));
+}
+
+void Node::rounds() {
+  for (;;) {
+    round_bell_.wait(settings_.tuning.round_period);
+    pause(kLeastGap);
+    if (!loaded_) continue;
+    one_round();
+  }
+}
+
+void Node::one_round() {
+  for (int i = 0; i < 6; ++i) {
+    auto routed = locked([](coordination::Controller& c) {
+      c.follow(now());
+      auto out = c.route(now());
+      const auto mine = out.find(c.self().member);
+      if (mine != out.end()) {
+        c.add_offers(mine->second, now());
+        out.erase(mine);
+      }
+      return out;
+    });
+    for (auto& s : siblings_) {
+      const auto at = routed.find(s->id);
+      if (at == routed.end()) continue;
+      {
+        const std::lock_guard lock(s->mutex);
+        if (s->offers.size() < 64) s->offers.push_back(std::move(at->second));
+      }
+      s->bell.ring();
+    }
+    const auto plan = locked([](auto& c) { return c.plan(now()); });
+    std::vector<coordination::Order> orders;
+    const bool went = !plan.empty() && commit_plan(plan, orders);
+    auto stops = locked([](auto& c) { return c.stops(now()); });
+    std::move(stops.begin(), stops.end(), std::back_inserter(orders));
+    enqueue(std::move(orders));
+    if (plan.empty()) break;
+    if (!went) pause(kLeastGap);
+  }
+  for (int i = 0; i < 8; ++i) {
+    const auto txn = locked([](auto& c) { return c.finish_one(); });
+    if (!txn) break;
+    pay_writes(txn->writes.size());
+    if (!commit(*txn, kStateCall)) break;
+  }
+  if (const auto txn = locked([](auto& c) { return c.sweep_orphans(); })) {
+    pay_writes(txn->writes.size());
+    commit(*txn, kStateCall);
+  }
+}
+
+bool Node::commit_plan(const coordination::RoundPlan& plan,
+                       std::vector<coordination::Order>& orders) {
+  pay_writes(plan.txn.writes.size());
+  const auto done = state_.commit(plan.txn, kStateCall);
+  switch (done.outcome) {
+    case Outcome::kDone:
+      orders = locked([&](coordination::Controller& c) {
+        return c.committed(plan, Version(done.revision.get()), now());
+      });
+      return true;
+    case Outcome::kConflict:
+      refresh(done.failed);
+      return false;
+    case Outcome::kUnknown: {
+      // It may have been carried out, or may be later. The guards decide: what comes next on
+      // these keys is committed against the versions read now, and only one of the two can hold.
+      std::vector<std::string> keys;
+      for (const auto& w : plan.txn.writes) keys.push_back(w.key);
+      refresh(keys);
+      return false;
+    }
+    default:
+      pause(kShortPause);
+      return false;
+  }
+}
+
+void Node::enqueue(std::vector<coordination::Order> orders) {
+  if (orders.empty()) return;
+  {
+    const std::lock_guard lock(orders_mutex_);
+    for (auto& o : orders) {
+      // What is dropped here is in the next report's answer all the same.
+      if (orders_.size() < kMostOrders) orders_.push_back(std::move(o));
+    }
+  }
+  orders_ready_.notify_all();
+}
+
+void Node::send_orders() {
+  for (;;) {
+    coordination::Order o;
+    {
+      std::unique_lock lock(orders_mutex_);
+      orders_ready_.wait(lock, [this] { return !orders_.empty(); });
+      o = std::move(orders_.front());
+      orders_.pop_front();
+    }
+    if (!locked([](auto& c) { return c.entitled(now()); })) continue;
+    const auto a = workers_.order(o.address, o.token, o.session, o.commands, Seconds(2.0));
+    if (a.sent != transport::Sent::kYes) {
+      spdlog::info("order to {} was not answered", o.machine.get());
+      continue;
+    }
+    locked([&](auto& c) { c.order_answered(o.machine, a.report, now()); });
+  }
+}
+
+// --- fleet
+
+void Node::fleet() {
+  const Seconds gap(1.25 / settings_.cloud_rps);
+  Time last_list{}, last_catalogue{};
+  struct Hire {
+    std::string name;
+    coordination::MachineKind kind;
+    int count;
+  };
+  std::optional<Hire> open;  // sent, and not answered for certain
+  for (;;) {
+    fleet_bell_.wait(std::max(gap, Seconds(0.7)));
+    const Time t = now();
+    const auto [leads, life] = locked([&](coordination::Controller& c) {
+      return std::pair(c.leads(t), c.self());
+    });
+    if (!leads) {
+      open.reset();
+      continue;
+    }
+    if (last_catalogue == Time{} || base::between(last_catalogue, t) > Seconds(60.0)) {
+      if (const auto types = cloud_.catalogue(); types && !types->empty()) {
+        last_catalogue = t;
+        const Json value = to_json(*types);
+        const auto txn = locked([&](coordination::Controller& c) -> std::optional<Transaction> {
+          if (to_json(c.ledger().catalogue()) == value) return {};
+          Transaction x;
+          x.guards[protocol::kLeadKey] = c.ledger().version(protocol::kLeadKey);
+          x.writes.push_back({protocol::kCatalogueKey, value, {}});
+          return x;
+        });
+        if (txn && !commit(*txn, kStateCall)) last_catalogue = Time{};
+      }
+      pause(gap);
+    }
+    if (base::between(last_list, t) > std::max(Seconds(3.0), gap * 6.0)) {
+      last_list = t;
+      if (const auto list = cloud_.list()) {
+        locked([&](auto& c) { c.listed(*list, now(), base::wall_seconds()); });
+      }
+      pause(gap);
+    }
+    auto actions = locked([](auto& c) { return c.plan_fleet(now(), base::wall_seconds()); });
+    if (!actions.release.empty()) {
+      if (actions.release.size() > 100) actions.release.resize(100);
+      std::string names;
+      for (const auto& id : actions.release) names += " " + id.get();
+      if (cloud_.release(actions.release)) {
+        spdlog::info("released:{}", names);
+        locked([&](auto& c) { c.released(actions.release, now()); });
+        round_bell_.ring();
+      } else {
+        spdlog::warn("the cloud did not release:{}", names);
+      }
+      pause(gap);
+    }
+    std::deque<Hire> hires;
+    if (open) hires.push_back(*open);
+    for (const auto& r : actions.plan.rent) {
+      // Never a name that any node or life has used: lives are numbered by the store.
+      hires.push_back({"r-" + life.member.get() + "-" + std::to_string(life.life.get()) + "-" +
+                           std::to_string(++hires_),
+                       r.kind, r.count});
+    }
+    bool rented = false;
+    const bool was_open = open.has_value();
+    for (const Hire& h : hires) {
+      if (!locked([](auto& c) { return c.leads(now()); })) break;
+      const auto r = cloud_.rent(h.name, h.kind.type, h.kind.zone, h.kind.spot, h.count);
+      using What = protocol::CloudClient::Rented::What;
+      open.reset();
+      if (r.what == What::kMachines) {
+        spdlog::info("rented {} of {} {} in {}{}", r.machines.size(), h.count, h.kind.type,
+                     h.kind.zone, h.kind.spot ? " (spot)" : "");
+        locked([&](coordination::Controller& c) {
+          c.rented(h.kind, r.machines, base::wall_seconds());
+          if (static_cast<int>(r.machines.size()) < h.count) c.refused(h.kind, now());
+        });
+        rented = true;
+      } else if (r.what == What::kNoCapacity) {
+        spdlog::info("no capacity for {} {} in {}{}", h.count, h.kind.type, h.kind.zone,
+                     h.kind.spot ? " (spot)" : "");
+        locked([&](auto& c) { c.refused(h.kind, now()); });
+      } else if (r.what == What::kUnknown) {
+        open = h;  // asked again under the same name: it rents nothing twice
+        break;
+      } else {
+        break;  // out of service or over the rate: planned anew next time
+      }
+      pause(gap);
+      // What was asked for before is not in this plan: plan anew before renting more.
+      if (was_open) break;
+    }
+    if (rented) {
+      if (const auto txn = locked([](auto& c) { return c.fleet_record(); })) {
+        commit(*txn, kStateCall);
+      }
+    }
+  }
+}
+
+}  // namespace saddleslip
--- /dev/null
+++ b/src/node.h
@@ -0,0 +1,123 @@
+// Wiring: the threads of one controller process around its decisions.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/settings.h"
+#include "coordination/controller.h"
+#include "protocol/clients.h"
+#include "transport/http_server.h"
+
+namespace saddleslip {
+
+class Node {
+ public:
+  explicit Node(base::Settings settings);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  // Starts all threads; throws std::runtime_error when an address can't be had.
+  void start();
+  // Blocks for ever.
+  void wait();
+
+ private:
+  using Time = base::Time;
+  using Seconds = base::Seconds;
+  using Reply = transport::Reply;
+  using Request = transport::Request;
+
+  // A flag that a loop waits for.
+  class Bell {
+   public:
+    void ring();
+    // False if it wasn't rung within that time.
+    bool wait(Seconds most);
+
+   private:
+    std::mutex mutex_;
+    std::condition_variable rung_;
+    bool is_rung_ = false;
+  };
+
+  // What one sibling is told: offers at once, status regularly.
+  struct Sibling {
+    explicit Sibling(base::Sibling s) : id(s.member), http(s.address, 2) {}
+    base::MemberId id;
+    transport::HttpClient http;
+    std::mutex mutex;
+    std::vector<protocol::Offers> offers;
+    Bell bell;
+  };
+
+  // Users
+  Reply serve(const Request& req);
+  Reply submit(const std::string& body);
+  Reply status(const base::JobId& id);
+  Reply withdraw(const base::JobId& id);
+  Reply ready();
+  Reply hello(const std::string& body);
+  // The state of a known job, not older than anything any node has told; none: never accepted.
+  enum class Known { kYes, kNo, kCantTell };
+  Known look_up(const base::JobId& id, Reply& reply);
+
+  // Siblings
+  Reply serve_sibling(const Request& req);
+  void tell_sibling(Sibling& sibling);
+
+  // Loops
+  void beat();
+  void watch();
+  bool load();
+  void rounds();
+  void one_round();
+  bool commit_plan(const coordination::RoundPlan& plan, std::vector<coordination::Order>& orders);
+  bool commit(const protocol::Transaction& txn, Seconds timeout);
+  void refresh(const std::vector<std::string>& keys);
+  void send_orders();
+  void enqueue(std::vector<coordination::Order> orders);
+  void fleet();
+  void pay_writes(std::size_t n);
+
+  template <class F>
+  auto locked(F f) {
+    const std::lock_guard lock(mutex_);
+    return f(controller_);
+  }
+
+  base::Settings settings_;
+  protocol::StateClient state_;
+  protocol::CloudClient cloud_;
+  protocol::WorkerClient workers_;
+
+  std::mutex mutex_;  // guards controller_ and lease_
+  coordination::Controller controller_;
+  std::optional<base::LeaseId> lease_;
+  std::atomic<bool> loaded_{false};
+  std::atomic<bool> was_ready_{false};
+
+  Bell beat_bell_, round_bell_, fleet_bell_;
+  std::vector<std::unique_ptr<Sibling>> siblings_;
+
+  std::mutex orders_mutex_;
+  std::condition_variable orders_ready_;
+  std::deque<coordination::Order> orders_;
+
+  double write_credit_ = 0;
+  Time write_credit_at_{};
+  std::uint64_t hires_ = 0;
+
+  std::unique_ptr<transport::HttpServer> server_, peer_server_;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace saddleslip
--- /dev/null
+++ b/src/protocol/clients.h
@@ -0,0 +1,101 @@
+// Clients of the state service, the cloud and the workers. A garbled answer counts as none.
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "protocol/records.h"
+#include "transport/http_client.h"
+
+namespace saddleslip::protocol {
+
+class StateClient {
+ public:
+  explicit StateClient(const base::Address& address);
+
+  enum class Outcome {
+    kDone,
+    kConflict,   // a guard failed; nothing was written
+    kRefused,    // over a limit or out of service; certainly not carried out
+    kUnknown,    // no answer: it may have been carried out, or may be later
+    kMalformed,  // 400: an expired lease, or a mistake of ours
+  };
+  struct Committed {
+    Outcome outcome = Outcome::kUnknown;
+    Revision revision;
+    std::vector<std::string> failed;
+  };
+  Committed commit(const Transaction& txn, Seconds timeout);
+
+  struct Got {
+    bool answered = false;
+    Item item;  // version 0: no such key
+  };
+  Got get(const std::string& key, Seconds timeout);
+
+  struct Listed {
+    bool answered = false;
+    std::vector<Item> items;
+    bool more = false;
+    Revision revision;
+  };
+  Listed list(const std::string& prefix, const std::string& after, Seconds timeout);
+
+  std::optional<LeaseId> create_lease(Seconds ttl, Seconds timeout);
+  enum class Renewed { kYes, kGone, kUnknown };
+  Renewed renew_lease(LeaseId lease, Seconds timeout);
+  void delete_lease(LeaseId lease, Seconds timeout);
+
+  struct Watched {
+    enum class What { kEvents, kTooOld, kNothing } what = What::kNothing;
+    Revision revision;
+    std::vector<Item> events;
+  };
+  Watched watch(const std::string& prefix, Revision after, Seconds wait);
+
+ private:
+  transport::HttpClient http_;
+  transport::HttpClient renewals_;  // of its own, so that no queue delays a renewal
+  transport::HttpClient watches_;
+};
+
+class CloudClient {
+ public:
+  explicit CloudClient(const base::Address& address);
+
+  std::optional<std::vector<MachineType>> catalogue();
+
+  struct Rented {
+    enum class What { kMachines, kNoCapacity, kRefused, kUnknown } what = What::kUnknown;
+    std::vector<MachineId> machines;
+  };
+  Rented rent(const std::string& request, const std::string& type, const std::string& zone,
+              bool spot, int count);
+  // True: the machines and everything on them are gone.
+  bool release(const std::vector<MachineId>& machines);
+  std::optional<std::vector<CloudMachine>> list();
+
+ private:
+  transport::HttpClient http_;
+};
+
+class WorkerClient {
+ public:
+  struct Answered {
+    transport::Sent sent = transport::Sent::kNo;
+    bool executed = false;
+    std::optional<Report> report;
+  };
+  Answered order(const std::string& address, Token token, Session session,
+                 const std::vector<Command>& commands, Seconds timeout);
+  // Drops the connections to workers that are not named.
+  void keep_only(const std::vector<std::string>& addresses);
+
+ private:
+  std::mutex mutex_;
+  std::map<std::string, std::shared_ptr<transport::HttpClient>> http_;
+};
+
+}  // namespace saddleslip::protocol
--- /dev/null
+++ b/src/protocol/records.cpp
@@ -0,0 +1,237 @@
+#include "protocol/records.h"
+
+#include <algorithm>
+
+namespace saddleslip::protocol {
+
+std::string job_key(const JobId& id) { return kJobs + id.get(); }
+std::string final_key(const JobId& id) { return kFinals + id.get(); }
+std::string chunk_key(const JobId& id, std::uint32_t chunk) {
+  return kChunks + id.get() + "/" + std::to_string(chunk);
+}
+std::string team_key(const std::string& team) {
+  // Keys hold no spaces and 200 bytes at most; a team's name may be anything.
+  std::string out;
+  static constexpr char kHex[] = "0123456789abcdef";
+  for (const char c : team.substr(0, 80)) {
+    if (std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_') {
+      out += c;
+    } else {
+      out += '%';
+      out += kHex[(static_cast<unsigned char>(c) >> 4) & 15];
+      out += kHex[static_cast<unsigned char>(c) & 15];
+    }
+  }
+  return kTeams + out;
+}
+std::string member_key(const MemberId& member) { return kMembers + member.get(); }
+
+std::optional<ChunkName> parse_chunk_key(const std::string& key) {
+  const auto slash = key.rfind('/');
+  if (slash == std::string::npos || slash <= kChunks.size() || slash + 1 >= key.size() ||
+      key.size() - slash > 7) {
+    return {};
+  }
+  std::uint32_t n = 0;
+  for (std::size_t i = slash + 1; i < key.size(); ++i) {
+    if (key[i] < '0' || key[i] > '9') return {};
+    n = n * 10 + static_cast<std::uint32_t>(key[i] - '0');
+  }
+  return ChunkName{JobId(key.substr(kChunks.size(), slash - kChunks.size())), n};
+}
+
+Json to_json(const JobRecord& job) {
+  Json j = {{"s", to_json(job.spec)}, {"at", job.submitted}};
+  if (job.withdrawn) j["w"] = true;
+  return j;
+}
+
+std::optional<JobRecord> parse_job(const Json& value) {
+  if (!value.is_object() || !value.contains("s")) return {};
+  auto spec = parse_submission(value.at("s").dump());
+  if (!std::holds_alternative<JobSpec>(spec)) return {};
+  JobRecord job;
+  job.spec = std::get<JobSpec>(std::move(spec));
+  job.submitted = value.value("at", 0.0);
+  job.withdrawn = value.value("w", false);
+  return job;
+}
+
+TaskNo ChunkRecord::done_count() const {
+  return static_cast<TaskNo>(std::count(done.begin(), done.end(), true));
+}
+
+Json to_json(const ChunkRecord& chunk, TaskNo first) {
+  Json done = Json::array();
+  for (std::size_t i = 0; i < chunk.done.size();) {
+    if (!chunk.done[i]) {
+      ++i;
+      continue;
+    }
+    std::size_t n = 1;
+    while (i + n < chunk.done.size() && chunk.done[i + n]) ++n;
+    done.push_back({i, n});
+    i += n;
+  }
+  Json held = Json::array();
+  for (auto it = chunk.held.begin(); it != chunk.held.end();) {
+    TaskNo n = 1;
+    auto next = std::next(it);
+    while (next != chunk.held.end() && next->first == it->first + n && next->second == it->second) {
+      ++n;
+      ++next;
+    }
+    held.push_back({it->first - first, n, it->second.machine.get(), it->second.attempt.get(),
+                    it->second.session.get()});
+    it = next;
+  }
+  return Json{{"n", chunk.next.get()}, {"d", std::move(done)}, {"h", std::move(held)}};
+}
+
+std::optional<ChunkRecord> parse_chunk(const Json& value, TaskNo first, TaskNo count) {
+  try {
+    ChunkRecord chunk;
+    chunk.done.assign(count, false);
+    if (value.is_null()) return chunk;
+    chunk.next = Attempt(value.at("n").get<std::uint64_t>());
+    for (const Json& d : value.at("d")) {
+      const auto at = d.at(0).get<TaskNo>(), n = d.at(1).get<TaskNo>();
+      if (at > count || n > count - at) return {};
+      std::fill_n(chunk.done.begin() + at, n, true);
+    }
+    for (const Json& h : value.at("h")) {
+      const auto at = h.at(0).get<TaskNo>(), n = h.at(1).get<TaskNo>();
+      if (at > count || n > count - at) return {};
+      const Held held{MachineId(h.at(2).get<std::string>()), Attempt(h.at(3).get<std::uint64_t>()),
+                      Session(h.at(4).get<std::uint64_t>())};
+      for (TaskNo i = 0; i < n; ++i) chunk.held[first + at + i] = held;
+    }
+    return chunk;
+  } catch (const Json::exception&) {
+    return {};
+  }
+}
+
+Json final_record(JobStatus status) { return Json{{"f", status == JobStatus::kDone ? "d" : "w"}}; }
+
+std::optional<JobStatus> parse_final(const Json& value) {
+  if (!value.is_object()) return {};
+  return value.value("f", "") == "d" ? JobStatus::kDone : JobStatus::kWithdrawn;
+}
+
+Json to_json(const Life& life) { return Json::array({life.member.get(), life.life.get()}); }
+
+std::optional<Life> parse_life(const Json& value) {
+  if (!value.is_array() || value.size() != 2 || !value[0].is_string() ||
+      !value[1].is_number_unsigned()) {
+    return {};
+  }
+  return Life{MemberId(value[0].get<std::string>()), Incarnation(value[1].get<std::uint64_t>())};
+}
+
+Json to_json(const View& view) {
+  Json members = Json::array();
+  for (const Life& m : view.members) members.push_back(to_json(m));
+  return Json{{"epoch", view.epoch.get()}, {"members", std::move(members)}};
+}
+
+std::optional<View> parse_view(const Json& value) {
+  if (!value.is_object() || !value.contains("epoch") || !value.at("epoch").is_number_unsigned() ||
+      !value.contains("members") || !value.at("members").is_array()) {
+    return {};
+  }
+  View view;
+  view.epoch = Epoch(value.at("epoch").get<std::uint64_t>());
+  for (const Json& m : value.at("members")) {
+    const auto life = parse_life(m);
+    if (!life) return {};
+    view.members.push_back(*life);
+  }
+  return view;
+}
+
+Json to_json(const std::vector<Booting>& fleet) {
+  Json list = Json::array();
+  for (const Booting& b : fleet) {
+    list.push_back({b.id.get(), b.type, b.zone, b.spot, b.rented});
+  }
+  return list;
+}
+
+std::vector<Booting> parse_fleet(const Json& value) {
+  std::vector<Booting> fleet;
+  try {
+    for (const Json& b : value) {
+      fleet.push_back({MachineId(b.at(0).get<std::string>()), b.at(1).get<std::string>(),
+                       b.at(2).get<std::string>(), b.at(3).get<bool>(), b.at(4).get<double>()});
+    }
+  } catch (const Json::exception&) {
+    fleet.clear();
+  }
+  return fleet;
+}
+
+Json to_json(const MemberStatus& s) {
+  Json machines = Json::array();
+  for (const MachineRoom& m : s.machines) {
+    machines.push_back({m.id.get(), m.type, m.zone, m.spot, m.open, m.free.v, m.lower.v, m.tasks,
+                        m.idle_s});
+  }
+  Json back = Json::array();
+  for (const MachineId& id : s.give_back) back.push_back(id.get());
+  return Json{{"from", to_json(s.from)}, {"state", s.has_state}, {"m", std::move(machines)},
+              {"back", std::move(back)}};
+}
+
+std::optional<MemberStatus> parse_status(const Json& body) {
+  try {
+    MemberStatus s;
+    const auto from = parse_life(body.at("from"));
+    if (!from) return {};
+    s.from = *from;
+    s.has_state = body.at("state").get<bool>();
+    for (const Json& m : body.at("m")) {
+      MachineRoom room;
+      room.id = MachineId(m.at(0).get<std::string>());
+      room.type = m.at(1).get<std::string>();
+      room.zone = m.at(2).get<std::string>();
+      room.spot = m.at(3).get<bool>();
+      room.open = m.at(4).get<bool>();
+      room.free.v = m.at(5).get<std::array<double, 3>>();
+      room.lower.v = m.at(6).get<std::array<double, 3>>();
+      room.tasks = m.at(7).get<std::uint32_t>();
+      room.idle_s = m.at(8).get<double>();
+      s.machines.push_back(std::move(room));
+    }
+    for (const Json& id : body.at("back")) s.give_back.emplace_back(id.get<std::string>());
+    return s;
+  } catch (const Json::exception&) {
+    return {};
+  }
+}
+
+Json to_json(const Offers& offers) {
+  Json list = Json::array();
+  for (const Offer& o : offers.offers) list.push_back({o.job.get(), o.ranges});
+  return Json{{"from", to_json(offers.from)}, {"epoch", offers.epoch.get()},
+              {"offers", std::move(list)}};
+}
+
+std::optional<Offers> parse_offers(const Json& body) {
+  try {
+    Offers offers;
+    const auto from = parse_life(body.at("from"));
+    if (!from) return {};
+    offers.from = *from;
+    offers.epoch = Epoch(body.at("epoch").get<std::uint64_t>());
+    for (const Json& o : body.at("offers")) {
+      offers.offers.push_back(
+          {JobId(o.at(0).get<std::string>()), o.at(1).get<std::vector<std::pair<TaskNo, TaskNo>>>()});
+    }
+    return offers;
+  } catch (const Json::exception&) {
+    return {};
+  }
+}
+
+}  // namespace saddleslip::protocol
--- /dev/null
+++ b/src/protocol/records.h
@@ -0,0 +1,159 @@
+// What the service keeps in the state service, and what controllers tell each other.
+//
+//   s/j/<job>            a job that is not over: what it asks, and whether it was withdrawn
+//   s/t/<job>/<chunk>    its tasks' ranges: done, and held by machines (a chunk is kChunk tasks)
+//   s/f/<job>            a job that is over, for good
+//   s/q/<team>           written with each start for a team with a limit: puts the starts in a row
+//   s/m/<member>         a member's life, under its lease
+//   s/lead               the leader, under its lease
+//   s/view               epoch and members; every commit on tasks guards its version
+//   s/catalogue          the machine types
+//   s/fleet              machines rented and not heard of yet
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/messages.h"
+
+namespace saddleslip::protocol {
+
+using base::Epoch;
+using base::Incarnation;
+using base::LeaseId;
+using base::Revision;
+using base::Version;
+
+inline constexpr TaskNo kChunk = 256;
+inline const std::string kAll = "s/";
+inline const std::string kViewKey = "s/view";
+inline const std::string kLeadKey = "s/lead";
+inline const std::string kCatalogueKey = "s/catalogue";
+inline const std::string kFleetKey = "s/fleet";
+inline const std::string kJobs = "s/j/";
+inline const std::string kChunks = "s/t/";
+inline const std::string kFinals = "s/f/";
+inline const std::string kMembers = "s/m/";
+inline const std::string kTeams = "s/q/";
+
+std::string job_key(const JobId& id);
+std::string final_key(const JobId& id);
+std::string chunk_key(const JobId& id, std::uint32_t chunk);
+std::string team_key(const std::string& team);
+std::string member_key(const MemberId& member);
+struct ChunkName {
+  JobId job;
+  std::uint32_t chunk = 0;
+};
+std::optional<ChunkName> parse_chunk_key(const std::string& key);
+
+struct Item {
+  std::string key;
+  Json value;  // null: removed
+  Version version;
+};
+
+struct Put {
+  std::string key;
+  std::optional<Json> value;  // none: remove
+  std::optional<LeaseId> lease;
+};
+
+struct Transaction {
+  std::map<std::string, Version> guards;
+  std::vector<Put> writes;
+};
+
+struct JobRecord {
+  JobSpec spec;
+  double submitted = 0;  // by the time of day of the node that accepted it
+  bool withdrawn = false;
+};
+Json to_json(const JobRecord& job);
+std::optional<JobRecord> parse_job(const Json& value);
+
+// Where a task is, or may be.
+struct Held {
+  MachineId machine;
+  Attempt attempt;
+  Session session;
+  bool operator==(const Held&) const = default;
+};
+struct ChunkRecord {
+  Attempt next{1};  // no attempt of this chunk has had this number or a higher one
+  std::vector<bool> done;
+  std::map<TaskNo, Held> held;
+  TaskNo done_count() const;
+};
+Json to_json(const ChunkRecord& chunk, TaskNo first);
+std::optional<ChunkRecord> parse_chunk(const Json& value, TaskNo first, TaskNo count);
+
+Json final_record(JobStatus status);
+std::optional<JobStatus> parse_final(const Json& value);
+
+struct Life {
+  MemberId member;
+  Incarnation life;
+  auto operator<=>(const Life&) const = default;
+};
+Json to_json(const Life& life);
+std::optional<Life> parse_life(const Json& value);
+
+struct View {
+  Epoch epoch;
+  std::vector<Life> members;
+  bool operator==(const View&) const = default;
+};
+Json to_json(const View& view);
+std::optional<View> parse_view(const Json& value);
+
+// A machine that was rented and has not reported yet.
+struct Booting {
+  MachineId id;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  double rented = 0;  // by the time of day
+};
+Json to_json(const std::vector<Booting>& fleet);
+std::vector<Booting> parse_fleet(const Json& value);
+
+// --- between controllers
+
+// A machine as its owner sees it.
+struct MachineRoom {
+  MachineId id;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  bool open = true;  // takes new tasks
+  Resources free;
+  Resources lower;  // held by tasks of standard and idle rank, which urgent work may displace
+  std::uint32_t tasks = 0;
+  double idle_s = 0;  // since it last had a task
+};
+
+struct MemberStatus {
+  Life from;
+  bool has_state = false;  // its lease in the store was renewed lately
+  std::vector<MachineRoom> machines;
+  std::vector<MachineId> give_back;  // machines whose release it asks the leader for
+};
+Json to_json(const MemberStatus& status);
+std::optional<MemberStatus> parse_status(const Json& body);
+
+struct Offer {
+  JobId job;
+  std::vector<std::pair<TaskNo, TaskNo>> ranges;  // first, count
+};
+struct Offers {
+  Life from;
+  Epoch epoch;
+  std::vector<Offer> offers;
+};
+Json to_json(const Offers& offers);
+std::optional<Offers> parse_offers(const Json& body);
+
+}  // namespace saddleslip::protocol
