--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -75,7 +75,10 @@
     }
   }
   const Version version = ledger_.version(protocol::kViewKey);
-  if (!ledger_.view() || version == followed_view_) return;
+  // Taking over needs all that was recorded before the view: the watch must have brought it.
+  if (!ledger_.view() || version == followed_view_ || ledger_.revision().get() < version.get()) {
+    return;
+  }
   const Token base = first_token(ledger_.view()->epoch);
   // Views that were skipped may have had other owners, who may have answered until lately.
   const bool in_a_row = base.get() == base_token_.get() + first_token(Epoch(1)).get();
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -22,7 +22,7 @@
     return !spec.zone || std::find(t.zones.begin(), t.zones.end(), *spec.zone) != t.zones.end();
   });
   if (!fits) return std::string("a task fits no machine type that the job allows");
-  const double n = spec.kind == Kind::kService ? spec.tasks : 1;
+  const double n = spec.kind == Kind::kArray ? 1 : spec.tasks;
   const base::Team& limit = team->second;
   if ((limit.cores_max > 0 && spec.need.cores() * n > limit.cores_max + 1e-6) ||
       (limit.gpus_max > 0 && spec.need.gpus() * n > limit.gpus_max + 1e-6)) {
@@ -63,6 +63,9 @@
       job.record.withdrawn ? protocol::JobStatus::kWithdrawn : protocol::JobStatus::kDone;
   txn.writes.push_back({protocol::final_key(spec.id), protocol::final_record(state), {}});
   txn.writes.push_back({protocol::job_key(spec.id), {}, {}});
+  if (job.chunks.size() > 1 && (spec.one_zone || spec.spread)) {
+    txn.writes.push_back({protocol::row_key(spec.id), {}, {}});
+  }
   for (std::size_t c = 0; c < job.chunks.size(); ++c) {
     if (job.chunks[c].version.get() == 0) continue;
     const std::string key = protocol::chunk_key(spec.id, static_cast<std::uint32_t>(c));
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -84,7 +84,7 @@
                                       [&](const auto& r) { return r.attempt == held.attempt; });
           if (t != reported->second.end() && t->state == TaskState::kEnded) {
             const Job* job = ledger_.job(task.job);
-            const bool done = t->cause == Cause::kDone && job && job->record.spec.kind == Kind::kArray;
+            const bool done = t->cause == Cause::kDone && job && job->record.spec.kind != Kind::kService;
             ends.push_back({task, machine, protocol::to_string(t->cause), done});
             continue;
           }
@@ -306,8 +306,9 @@
     plan.txn.writes.push_back({team, to_json(self_), {}});
   }
   for (const std::string& id : serialized) {
-    const Job* job = ledger_.job(JobId(id));
-    plan.txn.writes.push_back({protocol::job_key(job->record.spec.id), to_json(job->record), {}});
+    const std::string key = protocol::row_key(JobId(id));
+    plan.txn.guards[key] = ledger_.version(key);
+    plan.txn.writes.push_back({key, to_json(self_), {}});
   }
   return plan;
 }
@@ -332,7 +333,7 @@
       const auto team = settings_.teams.find(o.team);
       return guaranteed && o.team != spec.team && team != settings_.teams.end() &&
              ledger_.team_use(o.team).cores() > team->second.cores + 1e-6 &&
-             o.kind == Kind::kArray;
+             o.kind != Kind::kService;
     };
     std::size_t left = count;
     std::map<MachineId, Resources> taken;
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -102,6 +102,9 @@
     std::size_t room = 0;
     std::vector<std::size_t> room_in(all.size());
     for (std::size_t p = 0; p < all.size(); ++p) room += room_in[p] = all[p].room_for(spec);
+    const bool gang = spec.kind == protocol::Kind::kGang;
+    // A gang starts only if all its tasks find room in one round.
+    if (gang && room < job->pending()) continue;
     const std::size_t most = std::max<std::size_t>(room, 8);
     for (std::size_t c = 0; c < job->chunks.size() && waiting.size() < most; ++c) {
       const auto& record = job->chunks[c].record;
@@ -122,7 +125,8 @@
       }
     };
     std::size_t next = 0;
-    if (room > 0 && spec.kind == protocol::Kind::kArray && !spec.one_zone) {
+    if (gang && waiting.size() < job->pending()) continue;
+    if (room > 0 && spec.kind != protocol::Kind::kService && !spec.one_zone) {
       // Arrays are split by free room.
       const std::size_t n = std::min(waiting.size(), room);
       for (std::size_t p = 0; p < all.size() && next < n; ++p) {
@@ -152,7 +156,7 @@
       }
     }
     // Without room anywhere, what may displace other work goes where that can be done.
-    if (tier_of(*job) <= 3 || tier_of(*job) % 2 == 0) {
+    if (!gang && (tier_of(*job) <= 3 || tier_of(*job) % 2 == 0)) {
       while (next < waiting.size()) {
         const auto p = std::find_if(all.begin(), all.end(),
                                     [&](const Part& part) { return part.could_displace(spec); });
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -494,15 +494,17 @@
 
 void Node::refresh(const std::vector<std::string>& keys) {
   for (const std::string& key : keys) {
+    if (key == protocol::kViewKey) beat_bell_.ring();
+    // Only what stands for itself may be read ahead of the watch. The view and the rows of starts
+    // stand for all that was committed before them: known without it, a team's use would miss
+    // other nodes' starts.
+    const bool alone = key.compare(0, protocol::kJobs.size(), protocol::kJobs) == 0 ||
+                       key.compare(0, protocol::kChunks.size(), protocol::kChunks) == 0;
+    if (!alone) continue;
     auto got = state_.get(key, kUserCall);
     if (!got.answered) return;
-    locked([&](coordination::Controller& c) {
-      if (got.item.version.get() != 0) {
-        c.ledger().apply(got.item, now());
-      }
-      c.follow(now());
-    });
-    if (key == protocol::kViewKey) beat_bell_.ring();
+    if (got.item.version.get() == 0) continue;
+    locked([&](coordination::Controller& c) { c.ledger().apply(got.item, now()); });
   }
 }
 
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -11,7 +11,7 @@
 constexpr double kMost = 1e9;  // no amount, size or time of a real job is beyond this
 constexpr TaskNo kMaxTasks = 100'000;
 
-std::string kind_word(Kind k) { return k == Kind::kArray ? "array" : "daemon"; }
+constexpr std::array<const char*, 3> kKinds = {"array", "gang", "daemon"};
 
 constexpr std::array<const char*, 4> kRanks = {"critical", "urgent", "standard", "idle"};
 
@@ -98,7 +98,7 @@
   Json j = {{"name_id", s.id.get()},
             {"herd", s.job_class},
             {"drover", s.team},
-            {"gait", kind_word(s.kind)},
+            {"gait", kKinds[static_cast<std::size_t>(s.kind)]},
             {"rank", kRanks[static_cast<std::size_t>(s.rank)]},
             {"strides", s.tasks},
             {"cores", s.need.cores()},
@@ -130,12 +130,10 @@
   s.job_class = r.text("herd");
   s.team = r.text("drover");
   const std::string kind = r.text("gait");
-  if (kind == "array") {
-    s.kind = Kind::kArray;
-  } else if (kind == "daemon") {
-    s.kind = Kind::kService;
+  if (const auto k = std::find(kKinds.begin(), kKinds.end(), kind); k != kKinds.end()) {
+    s.kind = static_cast<Kind>(k - kKinds.begin());
   } else {
-    r.fail("gait", "must be array or daemon");
+    r.fail("gait", "must be array, gang or daemon");
   }
   const std::string rank = r.text("rank");
   const auto at = std::find(kRanks.begin(), kRanks.end(), rank);
@@ -228,7 +226,8 @@
                      : word == "unknown" ? Cause::kUnknown
                                          : Cause::kError;
       } else {
-        return {};
+        // Gathering, or a state that a later worker knows: it is there, and not over.
+        task.state = TaskState::kGathering;
       }
       if (!id || !tr.error().empty()) return {};
       rep.tasks[*id].push_back(task);
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -54,7 +54,7 @@
   bool operator==(const Resources&) const = default;
 };
 
-enum class Kind { kArray, kService };
+enum class Kind { kArray, kGang, kService };
 enum class Rank { kCritical, kUrgent, kStandard, kIdle };
 
 struct JobSpec {
@@ -90,7 +90,7 @@
 
 // --- workers
 
-enum class TaskState { kPulling, kRunning, kSaving, kEnded };
+enum class TaskState { kPulling, kGathering, kRunning, kSaving, kEnded };
 enum class Cause { kNone, kDone, kHalted, kError, kNoRoom, kBusy, kUnknown };
 const char* to_string(Cause cause);
 
--- a/src/protocol/records.cpp
+++ b/src/protocol/records.cpp
@@ -24,6 +24,7 @@
   }
   return kTeams + out;
 }
+std::string row_key(const JobId& id) { return kTeams + "job/" + id.get(); }
 std::string member_key(const MemberId& member) { return kMembers + member.get(); }
 
 std::optional<ChunkName> parse_chunk_key(const std::string& key) {
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -4,6 +4,7 @@
 //   s/t/<job>/<chunk>    its tasks' ranges: done, and held by machines (a chunk is kChunk tasks)
 //   s/f/<job>            a job that is over, for good
 //   s/q/<team>           written with each start for a team with a limit: puts the starts in a row
+//   s/q/job/<job>        the same for a job of several chunks whose tasks depend on each other's zones
 //   s/m/<member>         a member's life, under its lease
 //   s/lead               the leader, under its lease
 //   s/view               epoch and members; every commit on tasks guards its version
@@ -42,6 +43,7 @@
 std::string final_key(const JobId& id);
 std::string chunk_key(const JobId& id, std::uint32_t chunk);
 std::string team_key(const std::string& team);
+std::string row_key(const JobId& id);
 std::string member_key(const MemberId& member);
 struct ChunkName {
   JobId job;
