--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -435,6 +435,7 @@
   FleetActions actions;
   if (!leads(now) || !entitled(now) || ledger_.catalogue().empty()) return actions;
   count_arrivals(now);
+  for (const MachineId& id : status(now).give_back) to_release_.insert(id);
   actions.release.assign(to_release_.begin(), to_release_.end());
 
   FleetInput in;
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -168,6 +168,7 @@
   Version followed_view_;
   Token base_token_;
   Time followed_at_{};
+  std::optional<Time> entitled_since_;
 
   std::map<MachineId, Machine> machines_;
   std::map<MachineId, Time> owned_since_;  // for machines never heard: the base of lease proofs
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -108,7 +108,11 @@
 
 RoundPlan Controller::plan(Time now) {
   RoundPlan plan;
-  if (!entitled(now)) return plan;
+  if (!entitled(now)) {
+    entitled_since_.reset();
+    return plan;
+  }
+  if (!entitled_since_) entitled_since_ = now;
   housekeeping(now);
 
   struct Edit {
@@ -474,7 +478,9 @@
     }
     m.give_back = m.closed && !active;
     const bool overdue = m.taken_at && now > *m.taken_at;
-    if (base::between(m.heard, now) > (overdue ? settings_.report_every * 2.0 : quiet)) {
+    // While this node might not answer, workers went from node to node: that is no silence.
+    const Time heard = std::max(m.heard, *entitled_since_);
+    if (base::between(heard, now) > (overdue ? settings_.report_every * 2.0 : quiet)) {
       mute.insert(id);
     }
   }
@@ -483,7 +489,9 @@
     ++owned;
     const Time since = owned_since_.try_emplace(id, now).first->second;
     // Workers whose node is gone need a while to find their new one.
-    if (base::between(since, now) > quiet + Seconds(6.0)) mute.insert(id);
+    if (base::between(std::max(since, *entitled_since_), now) > quiet + Seconds(6.0)) {
+      mute.insert(id);
+    }
   }
   // One silent machine is most likely dead, and its release is the quickest proof. When many fall
   // silent at once the network is: they may all be well, and come back.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "base/log.h"
-#include "coordination/intake.h"
 
 namespace saddleslip {
 
@@ -32,11 +31,6 @@
   return {status, protocol::error_body(reason), retry_after_s};
 }
 
-transport::Reply try_later(const std::string& reason) { return error(503, reason, 1); }
-
-transport::Reply known_final(const JobId& id, protocol::JobStatus status) {
-  return {200, protocol::user_status(id, status), 0};
-}
 
 }  // namespace
 
@@ -60,7 +54,11 @@
     : settings_(std::move(settings)),
       state_(settings_.state),
       cloud_(settings_.cloud),
-      controller_(settings_) {
+      controller_(settings_),
+      users_(settings_, mutex_, controller_,
+             {[this](const std::string& key) { return state_.get(key, kUserCall); },
+              [this](const Transaction& txn) { return state_.commit(txn, kStateCall); },
+              [this] { round_bell_.ring(); }}) {
   for (const base::Sibling& s : settings_.siblings) {
     siblings_.push_back(std::make_unique<Sibling>(s));
   }
@@ -98,7 +96,9 @@
   const auto wrong_method = [] { return error(405, "wrong method"); };
   if (req.path == "/hello") return req.method == "POST" ? hello(req.body) : wrong_method();
   if (req.path == "/ready") return req.method == "GET" ? ready() : wrong_method();
-  if (req.path == kSubmissions) return req.method == "POST" ? submit(req.body) : wrong_method();
+  if (req.path == kSubmissions) {
+    return req.method == "POST" ? users_.submit(req.body, now()) : wrong_method();
+  }
   if (req.path.compare(0, kSubmissions.size() + 1, kSubmissions + "/") == 0) {
     std::string id = req.path.substr(kSubmissions.size() + 1);
     const bool is_withdrawal = id.size() > kWithdraw.size() &&
@@ -106,8 +106,10 @@
                                           kWithdraw) == 0;
     if (is_withdrawal) id.resize(id.size() - kWithdraw.size());
     if (!protocol::valid_job_id(id)) return error(404, "no such job");
-    if (is_withdrawal) return req.method == "POST" ? withdraw(JobId(id)) : wrong_method();
-    return req.method == "GET" ? status(JobId(id)) : wrong_method();
+    if (is_withdrawal) {
+      return req.method == "POST" ? users_.withdraw(JobId(id), now()) : wrong_method();
+    }
+    return req.method == "GET" ? users_.status(JobId(id), now()) : wrong_method();
   }
   return error(404, "no such path");
 }
@@ -124,140 +126,6 @@
   return ok ? Reply{200, R"({"ready":true})", 0} : error(503, "not ready", 1);
 }
 
-Node::Known Node::look_up(const JobId& id, Reply& reply) {
-  const auto cached = locked([&](coordination::Controller& c) { return c.ledger().final_state(id); });
-  if (cached) {
-    reply = known_final(id, *cached);
-    return Known::kYes;
-  }
-  // Another node may have told more than this one has heard of: the store decides. A live record
-  // only ever becomes a final one, so reading them in this order misses neither.
-  const auto live = state_.get(protocol::job_key(id), kUserCall);
-  if (!live.answered) return Known::kCantTell;
-  if (live.item.version.get() != 0) {
-    const auto record = protocol::parse_job(live.item.value);
-    if (!record) return Known::kCantTell;
-    if (record->withdrawn) {
-      reply = known_final(id, protocol::JobStatus::kWithdrawn);
-      return Known::kYes;
-    }
-    const auto [done, held] = locked([&](coordination::Controller& c) {
-      c.ledger().apply(live.item, now());
-      const auto* job = c.ledger().job(id);
-      return job ? std::pair(job->done, job->held) : std::pair(0u, 0u);
-    });
-    reply = {200,
-             protocol::user_status(id,
-                                   held > 0 ? protocol::JobStatus::kRunning
-                                            : protocol::JobStatus::kQueued,
-                                   done, held),
-             0};
-    return Known::kYes;
-  }
-  const auto over = state_.get(protocol::final_key(id), kUserCall);
-  if (!over.answered) return Known::kCantTell;
-  if (over.item.version.get() == 0) return Known::kNo;
-  const auto final_state = protocol::parse_final(over.item.value);
-  if (!final_state) return Known::kCantTell;
-  locked([&](coordination::Controller& c) { c.ledger().remember_final(id, *final_state); });
-  reply = known_final(id, *final_state);
-  return Known::kYes;
-}
-
-Node::Reply Node::submit(const std::string& body) {
-  const auto parsed = protocol::parse_submission(body);
-  Reply reply;
-  if (const auto* why = std::get_if<std::string>(&parsed)) {
-    // An accepted id stays accepted, whatever a later body looks like.
-    const Json root = Json::parse(body, nullptr, false);
-    if (root.is_object() && root.contains("name_id") && root.at("name_id").is_string() &&
-        protocol::valid_job_id(root.at("name_id").get<std::string>())) {
-      const auto known = look_up(JobId(root.at("name_id").get<std::string>()), reply);
-      if (known == Known::kYes) return reply;
-      if (known == Known::kCantTell) return try_later("the state service does not answer");
-    }
-    return error(400, *why);
-  }
-  const auto& spec = std::get<protocol::JobSpec>(parsed);
-  struct View {
-    bool known, undecided;
-    std::optional<std::string> never;
-  };
-  const View v = locked([&](coordination::Controller& c) {
-    const auto& ledger = c.ledger();
-    return View{ledger.job(spec.id) || ledger.final_state(spec.id), ledger.catalogue().empty(),
-                coordination::never_runs(spec, settings_, ledger.catalogue())};
-  });
-  if (v.known || v.undecided || v.never) {
-    const auto known = look_up(spec.id, reply);
-    if (known == Known::kYes) return reply;
-    if (known == Known::kCantTell) return try_later("the state service does not answer");
-    if (v.undecided) return try_later("the machine types are not known yet");
-    if (v.never) return error(422, *v.never);
-  }
-  const Transaction txn = coordination::acceptance(spec, base::wall_seconds());
-  const auto done = state_.commit(txn, kStateCall);
-  switch (done.outcome) {
-    case Outcome::kDone:
-      locked([&](coordination::Controller& c) {
-        c.ledger().apply({txn.writes[0].key, *txn.writes[0].value, Version(done.revision.get())},
-                         now());
-      });
-      round_bell_.ring();
-      return {201, protocol::user_status(spec.id, protocol::JobStatus::kQueued), 0};
-    case Outcome::kRefused:
-      return try_later("the state service is over its limit or out of service");
-    default:
-      // Taken before, or perhaps just now.
-      if (look_up(spec.id, reply) == Known::kYes) return reply;
-      return try_later("the state service did not answer");
-  }
-}
-
-Node::Reply Node::status(const JobId& id) {
-  Reply reply;
-  switch (look_up(id, reply)) {
-    case Known::kYes:
-      return reply;
-    case Known::kNo:
-      return error(404, "no such job");
-    default:
-      return try_later("the state service does not answer");
-  }
-}
-
-Node::Reply Node::withdraw(const JobId& id) {
-  for (int i = 0; i < 3; ++i) {
-    if (const auto f = locked([&](auto& c) { return c.ledger().final_state(id); })) {
-      return known_final(id, *f);
-    }
-    const auto live = state_.get(protocol::job_key(id), kUserCall);
-    if (!live.answered) break;
-    if (live.item.version.get() == 0) {
-      Reply reply;
-      const auto known = look_up(id, reply);
-      if (known == Known::kYes) return reply;
-      if (known == Known::kNo) return error(404, "no such job");
-      break;
-    }
-    const auto record = protocol::parse_job(live.item.value);
-    if (!record) break;
-    if (record->withdrawn) return known_final(id, protocol::JobStatus::kWithdrawn);
-    const Transaction txn = coordination::withdrawal(*record, live.item.version);
-    const auto done = state_.commit(txn, kStateCall);
-    if (done.outcome == Outcome::kRefused) break;
-    if (done.outcome != Outcome::kDone) continue;  // changed meanwhile, or no answer: look again
-    locked([&](coordination::Controller& c) {
-      c.ledger().apply({txn.writes[0].key, *txn.writes[0].value, Version(done.revision.get())},
-                       now());
-    });
-    spdlog::info("{} withdrawn", id.get());
-    round_bell_.ring();
-    return known_final(id, protocol::JobStatus::kWithdrawn);
-  }
-  return try_later("the state service does not answer");
-}
-
 Node::Reply Node::hello(const std::string& body) {
   const auto report = protocol::parse_report(body);
   if (!report) return error(400, "not a report");
--- a/src/node.h
+++ b/src/node.h
@@ -15,6 +15,7 @@
 #include "coordination/controller.h"
 #include "protocol/clients.h"
 #include "transport/http_server.h"
+#include "users.h"
 
 namespace saddleslip {
 
@@ -61,14 +62,8 @@
 
   // Users
   Reply serve(const Request& req);
-  Reply submit(const std::string& body);
-  Reply status(const base::JobId& id);
-  Reply withdraw(const base::JobId& id);
   Reply ready();
   Reply hello(const std::string& body);
-  // The state of a known job, not older than anything any node has told; none: never accepted.
-  enum class Known { kYes, kNo, kCantTell };
-  Known look_up(const base::JobId& id, Reply& reply);
 
   // Siblings
   Reply serve_sibling(const Request& req);
@@ -101,6 +96,7 @@
 
   std::mutex mutex_;  // guards controller_ and lease_
   coordination::Controller controller_;
+  Users users_;
   std::optional<base::LeaseId> lease_;
   std::atomic<bool> loaded_{false};
   std::atomic<bool> was_ready_{false};
--- /dev/null
+++ b/src/users.cpp
@@ -0,0 +1,164 @@
+#include "users.h"
+
+#include "base/log.h"
+#include "coordination/intake.h"
+
+namespace saddleslip {
+
+using base::JobId;
+using base::Time;
+using base::Version;
+using protocol::Json;
+using protocol::Transaction;
+using transport::Reply;
+using Outcome = protocol::StateClient::Outcome;
+
+namespace {
+
+Reply error(int status, const std::string& reason, int retry_after_s = 0) {
+  return {status, protocol::error_body(reason), retry_after_s};
+}
+
+Reply try_later(const std::string& reason) { return error(503, reason, 1); }
+
+Reply known_final(const JobId& id, protocol::JobStatus status) {
+  return {200, protocol::user_status(id, status), 0};
+}
+
+}  // namespace
+
+Users::Known Users::look_up(const JobId& id, Time now, Reply& reply) {
+  const auto cached = locked([&](coordination::Controller& c) { return c.ledger().final_state(id); });
+  if (cached) {
+    reply = known_final(id, *cached);
+    return Known::kYes;
+  }
+  // Another node may have told more than this one has heard of: the store decides. A live record
+  // only ever becomes a final one, so reading them in this order misses neither.
+  const auto live = store_.get(protocol::job_key(id));
+  if (!live.answered) return Known::kCantTell;
+  if (live.item.version.get() != 0) {
+    const auto record = protocol::parse_job(live.item.value);
+    if (!record) return Known::kCantTell;
+    if (record->withdrawn) {
+      reply = known_final(id, protocol::JobStatus::kWithdrawn);
+      return Known::kYes;
+    }
+    const auto [done, held] = locked([&](coordination::Controller& c) {
+      c.ledger().apply(live.item, now);
+      const auto* job = c.ledger().job(id);
+      return job ? std::pair(job->done, job->held) : std::pair(0u, 0u);
+    });
+    reply = {200,
+             protocol::user_status(id,
+                                   held > 0 ? protocol::JobStatus::kRunning
+                                            : protocol::JobStatus::kQueued,
+                                   done, held),
+             0};
+    return Known::kYes;
+  }
+  const auto over = store_.get(protocol::final_key(id));
+  if (!over.answered) return Known::kCantTell;
+  if (over.item.version.get() == 0) return Known::kNo;
+  const auto final_state = protocol::parse_final(over.item.value);
+  if (!final_state) return Known::kCantTell;
+  locked([&](coordination::Controller& c) { c.ledger().remember_final(id, *final_state); });
+  reply = known_final(id, *final_state);
+  return Known::kYes;
+}
+
+Reply Users::submit(const std::string& body, Time now) {
+  const auto parsed = protocol::parse_submission(body);
+  Reply reply;
+  if (const auto* why = std::get_if<std::string>(&parsed)) {
+    // An accepted id stays accepted, whatever a later body looks like.
+    const Json root = Json::parse(body, nullptr, false);
+    if (root.is_object() && root.contains("name_id") && root.at("name_id").is_string() &&
+        protocol::valid_job_id(root.at("name_id").get<std::string>())) {
+      const auto known = look_up(JobId(root.at("name_id").get<std::string>()), now, reply);
+      if (known == Known::kYes) return reply;
+      if (known == Known::kCantTell) return try_later("the state service does not answer");
+    }
+    return error(400, *why);
+  }
+  const auto& spec = std::get<protocol::JobSpec>(parsed);
+  struct View {
+    bool known, undecided;
+    std::optional<std::string> never;
+  };
+  const View v = locked([&](coordination::Controller& c) {
+    const auto& ledger = c.ledger();
+    return View{ledger.job(spec.id) || ledger.final_state(spec.id), ledger.catalogue().empty(),
+                coordination::never_runs(spec, settings_, ledger.catalogue())};
+  });
+  if (v.known || v.undecided || v.never) {
+    const auto known = look_up(spec.id, now, reply);
+    if (known == Known::kYes) return reply;
+    if (known == Known::kCantTell) return try_later("the state service does not answer");
+    if (v.undecided) return try_later("the machine types are not known yet");
+    if (v.never) return error(422, *v.never);
+  }
+  const Transaction txn = coordination::acceptance(spec, base::wall_seconds());
+  const auto done = store_.commit(txn);
+  switch (done.outcome) {
+    case Outcome::kDone:
+      locked([&](coordination::Controller& c) {
+        c.ledger().apply({txn.writes[0].key, *txn.writes[0].value, Version(done.revision.get())},
+                         now);
+      });
+      store_.changed();
+      return {201, protocol::user_status(spec.id, protocol::JobStatus::kQueued), 0};
+    case Outcome::kRefused:
+      return try_later("the state service is over its limit or out of service");
+    default:
+      // Taken before, or perhaps just now.
+      if (look_up(spec.id, now, reply) == Known::kYes) return reply;
+      return try_later("the state service did not answer");
+  }
+}
+
+Reply Users::status(const JobId& id, Time now) {
+  Reply reply;
+  switch (look_up(id, now, reply)) {
+    case Known::kYes:
+      return reply;
+    case Known::kNo:
+      return error(404, "no such job");
+    default:
+      return try_later("the state service does not answer");
+  }
+}
+
+Reply Users::withdraw(const JobId& id, Time now) {
+  for (int i = 0; i < 3; ++i) {
+    if (const auto f = locked([&](auto& c) { return c.ledger().final_state(id); })) {
+      return known_final(id, *f);
+    }
+    const auto live = store_.get(protocol::job_key(id));
+    if (!live.answered) break;
+    if (live.item.version.get() == 0) {
+      Reply reply;
+      const auto known = look_up(id, now, reply);
+      if (known == Known::kYes) return reply;
+      if (known == Known::kNo) return error(404, "no such job");
+      break;
+    }
+    const auto record = protocol::parse_job(live.item.value);
+    if (!record) break;
+    if (record->withdrawn) return known_final(id, protocol::JobStatus::kWithdrawn);
+    const Transaction txn = coordination::withdrawal(*record, live.item.version);
+    const auto done = store_.commit(txn);
+    if (done.outcome == Outcome::kRefused) break;
+    if (done.outcome != Outcome::kDone) continue;  // changed meanwhile, or no answer: look again
+    locked([&](coordination::Controller& c) {
+      c.ledger().apply({txn.writes[0].key, *txn.writes[0].value, Version(done.revision.get())},
+                       now);
+    });
+    spdlog::info("{} withdrawn", id.get());
+    store_.changed();
+    return known_final(id, protocol::JobStatus::kWithdrawn);
+  }
+  return try_later("the state service does not answer");
+}
+
+}  // namespace saddleslip
--- /dev/null
+++ b/src/users.h
@@ -0,0 +1,47 @@
+// What users ask: submissions, states, withdrawals. Answered from the state service, or from final
+// states, which never change.
+#pragma once
+
+#include <functional>
+#include <mutex>
+#include <string>
+
+#include "coordination/controller.h"
+#include "protocol/clients.h"
+#include "transport/http.h"
+
+namespace saddleslip {
+
+class Users {
+ public:
+  struct Store {
+    std::function<protocol::StateClient::Got(const std::string& key)> get;
+    std::function<protocol::StateClient::Committed(const protocol::Transaction& txn)> commit;
+    std::function<void()> changed;  // something was accepted or withdrawn: a round is due
+  };
+  Users(const base::Settings& settings, std::mutex& mutex, coordination::Controller& controller,
+        Store store)
+      : settings_(settings), mutex_(mutex), controller_(controller), store_(std::move(store)) {}
+
+  transport::Reply submit(const std::string& body, base::Time now);
+  transport::Reply status(const base::JobId& id, base::Time now);
+  transport::Reply withdraw(const base::JobId& id, base::Time now);
+
+ private:
+  // The state of a job, not older than anything that any node has told; kNo: never accepted.
+  enum class Known { kYes, kNo, kCantTell };
+  Known look_up(const base::JobId& id, base::Time now, transport::Reply& reply);
+
+  template <class F>
+  auto locked(F f) {
+    const std::lock_guard lock(mutex_);
+    return f(controller_);
+  }
+
+  const base::Settings& settings_;
+  std::mutex& mutex_;  // guards controller_
+  coordination::Controller& controller_;
+  Store store_;
+};
+
+}  // namespace saddleslip
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,65 @@
+#include "base/settings.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace saddleslip::base {
+
+using Json = nlohmann::json;
+
+Json good() {
+  return {{"member", "m-0"},
+          {"serve_on", "127.0.0.1:1"},
+          {"peer_listen", "127.0.0.1:2"},
+          {"siblings", {{{"member", "m-1"}, {"area", "x"}, {"address", "127.0.0.1:3"}}}},
+          {"endpoints", {{"cloud", "127.0.0.1:4"}, {"state", "127.0.0.1:5"}}},
+          {"settings", {{"workers", {{"lease_s", 12}}}}},
+          {"a_later_field", 1}};
+}
+
+TEST(Settings, TakesWhatThePlatformWrites) {
+  const Settings s = parse_settings(good().dump());
+  EXPECT_EQ(s.size, 2);
+  EXPECT_LT(s.tuning.member_ttl, s.worker_lease * 0.5);
+}
+
+TEST(Settings, NamesTheFieldThatIsWrong) {
+  const auto says = [](const Json& j, const std::string& word) {
+    try {
+      parse_settings(j.dump());
+      ADD_FAILURE() << "accepted: " << j.dump();
+    } catch (const BadSettings& e) {
+      EXPECT_NE(std::string(e.what()).find(word), std::string::npos) << e.what();
+      EXPECT_EQ(std::string(e.what()).find('\n'), std::string::npos);
+    }
+  };
+  for (const char* f : {"member", "serve_on", "peer_listen", "endpoints"}) {
+    Json j = good();
+    j.erase(f);
+    says(j, f);
+  }
+  Json j = good();
+  j["serve_on"] = "127.0.0.1:99999";
+  says(j, "serve_on");
+  j = good();
+  j["settings"]["workers"]["lease_s"] = "long";
+  says(j, "lease_s");
+  j = good();
+  j["settings"]["teams"] = {{{"name", "t"}, {"cpus", -1}}};
+  says(j, "cpus");
+  EXPECT_THROW(parse_settings("{"), BadSettings);
+}
+
+TEST(Operators, AreChecked) {
+  Settings s = parse_settings(good().dump());
+  apply_tuning(s, "round_period_s: 0.5\nmember_ttl_s: 4\n");
+  EXPECT_EQ(s.tuning.round_period, Seconds(0.5));
+  apply_tuning(s, "");
+  for (const char* bad : {"round_period_s: -1", "speed: 3", "round_period_s: soon", "- 1", "a: [",
+                          "member_ttl_s: 60", "max_connections: 8.5"}) {
+    EXPECT_THROW(apply_tuning(s, bad), BadSettings) << bad;
+  }
+}
+
+}  // namespace saddleslip::base
--- /dev/null
+++ b/tests/transport_test.cpp
@@ -0,0 +1,85 @@
+// Over real loopback sockets: the server and the client of this repository against each other.
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+
+namespace saddleslip::transport {
+
+const base::Address kAny{"127.0.0.1", 0};
+
+std::string raw(int port, const std::string& text) {
+  const int s = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(static_cast<std::uint16_t>(port));
+  ::inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
+  EXPECT_EQ(::connect(s, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+  EXPECT_EQ(::send(s, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+  std::string out;
+  char buffer[4096];
+  ssize_t n;
+  while ((n = ::recv(s, buffer, sizeof buffer, 0)) > 0) out.append(buffer, static_cast<std::size_t>(n));
+  ::close(s);
+  return out;
+}
+
+TEST(Transport, AnswersOnKeptConnections) {
+  HttpServer server(kAny, 8, [](const Request& r) {
+    return Reply{r.method == "POST" ? 201 : 200, r.method + " " + r.path + " " + r.body, 0};
+  });
+  HttpClient client({"127.0.0.1", server.port()}, 1);
+  for (int i = 0; i < 20; ++i) {
+    const auto a = client.post("/a", "{\"n\":" + std::to_string(i) + "}", base::Seconds(5));
+    ASSERT_EQ(a.sent, Sent::kYes);
+    EXPECT_EQ(a.status, 201);
+    EXPECT_EQ(a.body, "POST /a {\"n\":" + std::to_string(i) + "}");
+    EXPECT_EQ(client.get("/b", base::Seconds(5)).body, "GET /b ");
+  }
+}
+
+TEST(Transport, RefusesLongBodiesAndPaths) {
+  HttpServer server(kAny, 8, [](const Request&) { return Reply{200, "{}", 0}; });
+  HttpClient client({"127.0.0.1", server.port()}, 1);
+  EXPECT_EQ(client.post("/a", std::string(64 * 1024, 'x'), base::Seconds(5)).status, 200);
+  EXPECT_EQ(client.post("/a", std::string(65 * 1024, 'x'), base::Seconds(5)).status, 400);
+  EXPECT_EQ(client.get("/" + std::string(3000, 'x'), base::Seconds(5)).status, 404);
+  EXPECT_EQ(client.get("/a", base::Seconds(5)).status, 200);
+}
+
+TEST(Transport, SurvivesGarbage) {
+  HttpServer server(kAny, 8, [](const Request&) { return Reply{200, "{}", 0}; });
+  EXPECT_NE(raw(server.port(), "nonsense\r\n\r\n").find(" 400 "), std::string::npos);
+  raw(server.port(), "POST /a HTTP/1.1\r\nContent-Length: x\r\nConnection: close\r\n\r\n");
+  raw(server.port(), std::string(20000, 'A') + "\r\n\r\n");
+  HttpClient client({"127.0.0.1", server.port()}, 1);
+  EXPECT_EQ(client.get("/a", base::Seconds(5)).status, 200);
+}
+
+TEST(Transport, BoundsItsConnections) {
+  HttpServer server(kAny, 2, [](const Request&) { return Reply{200, "{}", 0}; });
+  HttpClient a({"127.0.0.1", server.port()}, 1), b({"127.0.0.1", server.port()}, 1),
+      c({"127.0.0.1", server.port()}, 1);
+  EXPECT_TRUE(a.get("/", base::Seconds(5)).ok());
+  EXPECT_TRUE(b.get("/", base::Seconds(5)).ok());
+  EXPECT_NE(c.get("/", base::Seconds(5)).sent, Sent::kYes);
+  EXPECT_TRUE(a.get("/", base::Seconds(5)).ok());
+}
+
+TEST(Transport, TellsARefusalFromSilence) {
+  int port = 0;
+  {
+    HttpServer server(kAny, 2, [](const Request&) { return Reply{200, "{}", 0}; });
+    port = server.port();
+  }
+  HttpClient nobody({"127.0.0.1", port}, 1);
+  EXPECT_EQ(nobody.get("/", base::Seconds(5)).sent, Sent::kNo);
+  HttpServer huge(kAny, 2, [](const Request&) { return Reply{200, std::string(100000, 'x'), 0}; });
+  HttpClient client({"127.0.0.1", huge.port()}, 1);
+  EXPECT_EQ(client.get("/", base::Seconds(5), 1000).sent, Sent::kMaybe);
+}
+
+}  // namespace saddleslip::transport
--- /dev/null
+++ b/tests/world.cpp
@@ -0,0 +1,803 @@
+#include "world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+#include "coordination/intake.h"
+
+namespace saddleslip::testing {
+
+using protocol::StateClient;
+using Outcome = StateClient::Outcome;
+
+namespace {
+
+constexpr double kStep = 0.05;
+constexpr double kPull = 0.5;
+
+std::string name(std::size_t n) { return "n" + std::to_string(n); }
+
+bool active(const std::string& state) { return state != "ended"; }
+
+}  // namespace
+
+Time World::now() const {
+  return Time(std::chrono::duration_cast<base::SteadyClock::duration>(base::Seconds(1000 + t_)));
+}
+
+void World::broken(const std::string& what) {
+  std::ostringstream out;
+  out.precision(4);
+  out << "at " << t_ << ": " << what;
+  failures_.push_back(out.str());
+}
+
+bool World::cut(const std::string& a, const std::string& b) const {
+  return cuts_.contains({a, b}) || cuts_.contains({b, a});
+}
+
+// --- the state service
+
+bool World::state_reachable(std::size_t node) const {
+  return !state_down_ && !cut(name(node), "state");
+}
+
+void World::write(const std::string& key, const Json& value, std::uint64_t lease,
+                  std::uint64_t revision) {
+  if (value.is_null()) {
+    store_.erase(key);
+  } else {
+    store_[key] = {value, revision, lease};
+  }
+  changes_.push_back({revision, {key, value, base::Version(revision)}, t_});
+}
+
+StateClient::Committed World::apply(const protocol::Transaction& txn) {
+  StateClient::Committed c;
+  for (const auto& [key, version] : txn.guards) {
+    const auto at = store_.find(key);
+    if ((at == store_.end() ? 0 : at->second.version) != version.get()) c.failed.push_back(key);
+  }
+  c.revision = base::Revision(revision_);
+  c.outcome = Outcome::kConflict;
+  if (!c.failed.empty()) return c;
+  for (const auto& w : txn.writes) {
+    if (w.lease && !leases_.contains(w.lease->get())) {
+      c.outcome = Outcome::kMalformed;
+      return c;
+    }
+  }
+  ++revision_;
+  for (const auto& w : txn.writes) {
+    write(w.key, w.value ? *w.value : Json(), w.lease ? w.lease->get() : 0, revision_);
+  }
+  c.revision = base::Revision(revision_);
+  c.outcome = Outcome::kDone;
+  return c;
+}
+
+StateClient::Committed World::commit(std::size_t node, const protocol::Transaction& txn) {
+  StateClient::Committed c;
+  if (!state_reachable(node)) {
+    c.outcome = Outcome::kRefused;
+    return c;
+  }
+  if (const auto late = late_commit_.find(node); late != late_commit_.end()) {
+    late_commits_.emplace_back(t_ + late->second, txn);
+    late_commit_.erase(late);
+    return c;
+  }
+  c = apply(txn);
+  if (lose_commit_.erase(node) > 0) {
+    c = {};
+    nodes_[node].busy_until = t_ + 1.5;
+  }
+  return c;
+}
+
+StateClient::Got World::get(std::size_t node, const std::string& key) {
+  StateClient::Got g;
+  if (!state_reachable(node)) return g;
+  g.answered = true;
+  g.item.key = key;
+  const auto at = store_.find(key);
+  if (at != store_.end()) g.item = {key, at->second.value, base::Version(at->second.version)};
+  return g;
+}
+
+void World::expire_leases() {
+  if (state_down_) return;
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (t_ < it->second.until) {
+      ++it;
+      continue;
+    }
+    std::vector<std::string> keys;
+    for (const auto& [key, k] : store_) {
+      if (k.lease == it->first) keys.push_back(key);
+    }
+    if (!keys.empty()) ++revision_;
+    for (const auto& key : keys) write(key, Json(), 0, revision_);
+    it = leases_.erase(it);
+  }
+}
+
+// --- workers
+
+World::Worker& World::add_worker(const std::string& id, const std::string& type,
+                                 const std::string& zone, bool spot, double boots) {
+  Worker w;
+  w.id = id;
+  w.type = type;
+  w.zone = zone;
+  w.spot = spot;
+  w.boots = boots;
+  w.last_answered = boots;
+  w.next_report = boots;
+  return workers_[id] = w;
+}
+
+protocol::Report World::report_of(Worker& w) {
+  Json tasks = Json::array();
+  for (const auto& [id, attempts] : w.tasks) {
+    for (const Task& t : attempts) {
+      tasks.push_back({{"stride", id.job.get() + "/" + std::to_string(id.no)},
+                       {"remount", t.attempt},
+                       {"status", t.state},
+                       {"cause", t.cause}});
+    }
+  }
+  Json j = {{"mount", w.id},         {"endpoint", w.id + ":1"}, {"breed", w.type},
+            {"paddock", w.zone},     {"strays", w.spot},        {"ride", w.session},
+            {"tally", ++w.sequence}, {"reins", w.token},        {"strides", tasks}};
+  if (w.taken_at) j["recall_s"] = *w.taken_at - t_;
+  auto r = protocol::parse_report(j.dump());
+  if (!r) broken("the stand-in's report can't be parsed");
+  return *r;
+}
+
+void World::check_start(const Worker& w, const TaskId& task) {
+  ++starts_;
+  const auto j = jobs_.find(task.job);
+  if (j == jobs_.end()) return broken("invented: a task of an unknown job starts");
+  const auto& spec = j->second.spec;
+  const std::string text = task.job.get() + "/" + std::to_string(task.no);
+  std::map<std::string, int> zones;
+  for (const auto& [id, other] : workers_) {
+    for (const auto& [t, attempts] : other.tasks) {
+      const bool on = std::any_of(attempts.begin(), attempts.end(),
+                                  [](const Task& a) { return active(a.state); });
+      if (!on || t.job != task.job || !other.alive) continue;
+      if (t == task && id != w.id) broken("ran_twice: " + text + " starts on " + w.id + ", is on " + id);
+      if (t != task) ++zones[other.zone];
+    }
+  }
+  if (!coordination::may_run(spec, w.type, w.zone, w.spot)) broken("wrong_place: " + text);
+  if (spec.one_zone && !zones.empty() && !zones.contains(w.zone)) broken("wrong_place: " + text + " in another zone");
+  if (spec.spread && zones[w.zone] + 1 > static_cast<int>((spec.tasks + 1) / 2)) {
+    broken("wrong_place: too many of " + spec.id.get() + " in " + w.zone);
+  }
+}
+
+void World::execute(Worker& w, const std::vector<Command>& commands) {
+  for (const Command& c : commands) {
+    auto& attempts = w.tasks[c.task];
+    const auto at = std::find_if(attempts.begin(), attempts.end(),
+                                 [&](const Task& t) { return t.attempt == c.attempt.get(); });
+    if (c.op == Command::Op::kRun) {
+      if (at != attempts.end()) continue;
+      Task t{c.attempt.get(), "pulling", "", t_ + kPull, 0};
+      const auto job = jobs_.find(c.task.job);
+      double used = 0;
+      for (const auto& [id, all] : w.tasks) {
+        const auto other = jobs_.find(id.job);
+        for (const Task& a : all) {
+          if (active(a.state) && other != jobs_.end()) used += other->second.spec.need.cores();
+        }
+      }
+      if (std::any_of(attempts.begin(), attempts.end(), [](const Task& a) { return active(a.state); })) {
+        t.state = "ended";
+        t.cause = "busy";
+      } else if (job == jobs_.end()) {
+        t.state = "ended";
+        t.cause = "unknown";
+      } else if (used + job->second.spec.need.cores() > (w.type == "big" ? 8 : 4) + 1e-6) {
+        t.state = "ended";
+        t.cause = "no_room";
+      }
+      attempts.push_back(t);
+    } else if (at != attempts.end()) {
+      if (c.op == Command::Op::kForget) {
+        if (at->state == "ended") attempts.erase(at);
+      } else if (active(at->state)) {
+        at->state = "ended";
+        at->cause = "halted";
+      }
+    }
+    if (attempts.empty()) w.tasks.erase(c.task);
+  }
+}
+
+void World::end_session(Worker& w) {
+  w.tasks.clear();
+  ++w.session;
+  w.last_answered = t_;
+}
+
+void World::report(Worker& w) {
+  w.next_report = t_ + report_s_;
+  const std::size_t n = w.node;
+  const auto next = [&] {
+    w.node = (w.node + 1) % nodes_.size();
+    w.next_report = t_ + 1.0;
+  };
+  if (cut(name(n), "workers") || cut(name(n), w.id) || cut(name(n), w.zone) || !nodes_[n].up ||
+      !nodes_[n].loaded) {
+    return next();
+  }
+  const auto rep = report_of(w);
+  const auto reply = nodes_[n].controller->hello(rep, now());
+  nodes_[n].rung = true;
+  const Json body = Json::parse(reply.body, nullptr, false);
+  if (reply.status == 421 && body.contains("trailboss")) {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (name(i) != body["trailboss"] || i == n) continue;
+      w.node = i;
+      w.next_report = t_ + 0.1;
+      return;
+    }
+  }
+  if (reply.status != 200) return next();
+  const auto token = body["reins"].get<std::uint64_t>();
+  if (token < w.token) return;
+  w.token = token;
+  w.last_answered = t_;
+  std::vector<Command> commands;
+  for (const Json& c : body["calls"]) {
+    const std::string stride = c["stride"];
+    const auto slash = stride.rfind('/');
+    Command cmd;
+    cmd.op = c["call"] == "run"    ? Command::Op::kRun
+             : c["call"] == "kill" ? Command::Op::kKill
+                                   : Command::Op::kForget;
+    cmd.task = {JobId(stride.substr(0, slash)),
+                static_cast<TaskNo>(std::stoul(stride.substr(slash + 1)))};
+    cmd.attempt = base::Attempt(c["remount"].get<std::uint64_t>());
+    commands.push_back(cmd);
+  }
+  execute(w, commands);
+  if (!commands.empty()) w.next_report = std::min(w.next_report, t_ + 0.5);
+}
+
+void World::deliver(const coordination::Order& order, std::size_t from) {
+  const auto at = workers_.find(order.machine.get());
+  if (at == workers_.end() || !at->second.alive || at->second.hung || t_ < at->second.boots) return;
+  Worker& w = at->second;
+  if (order.token.get() >= w.token && order.session.get() == w.session) {
+    w.token = order.token.get();
+    execute(w, order.commands);
+  }
+  const auto rep = report_of(w);
+  if (nodes_[from].up) nodes_[from].controller->order_answered(order.machine, rep, now());
+}
+
+void World::step_workers() {
+  for (auto& [id, w] : workers_) {
+    if (!w.alive || t_ < w.boots) continue;
+    if (w.taken_at && t_ >= *w.taken_at) {
+      w.alive = false;
+      w.tasks.clear();
+      continue;
+    }
+    // A hung machine may go on at any time within its lease, not after it.
+    if (t_ - w.last_answered > lease_s_) end_session(w);
+    if (w.hung) continue;
+    bool changed = false;
+    for (auto& [task, attempts] : w.tasks) {
+      for (Task& a : attempts) {
+        const auto job = jobs_.find(task.job);
+        if (a.state == "pulling" && t_ >= a.ready) {
+          // On its machine from here on.
+          check_start(w, task);
+          a.state = "running";
+          a.ends = t_ + job->second.run;
+          if (w.sick) {
+            a.state = "ended";
+            a.cause = "error";
+          }
+          changed = true;
+        } else if (a.state == "running" && t_ >= a.ends && job->second.spec.kind != protocol::Kind::kService) {
+          a.state = "ended";
+          a.cause = "done";
+          job->second.done.insert(task.no);
+          changed = true;
+        }
+      }
+    }
+    if (changed) w.next_report = std::min(w.next_report, t_ + 0.2);
+    if (t_ >= w.next_report) report(w);
+  }
+}
+
+// --- controllers
+
+void World::start_node(std::size_t n) {
+  NodeSim& node = nodes_[n];
+  Json siblings = Json::array();
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (i != n) siblings.push_back({{"member", name(i)}, {"address", "10.0.0.1:1"}});
+  }
+  const Json j = {
+      {"member", name(n)},
+      {"serve_on", "10.0.0.1:1"},
+      {"peer_listen", "10.0.0.1:2"},
+      {"siblings", siblings},
+      {"endpoints", {{"cloud", "10.0.0.1:3"}, {"state", "10.0.0.1:4"}}},
+      {"settings",
+       {{"size", nodes_.size()},
+        {"teams", Json::parse("[" + teams_ + "]")},
+        {"workers", {{"report_s", report_s_}, {"lease_s", lease_s_}, {"cancel_s", cancel_s_}}},
+        {"cloud", {{"list_lag_s", 5}}}}}};
+  node.settings = base::parse_settings(j.dump());
+  node.mutex = std::make_unique<std::mutex>();
+  node.controller = std::make_unique<coordination::Controller>(node.settings);
+  node.users = std::make_unique<Users>(
+      node.settings, *node.mutex, *node.controller,
+      Users::Store{[this, n](const std::string& key) { return get(n, key); },
+                   [this, n](const protocol::Transaction& txn) { return commit(n, txn); },
+                   [this, n] { nodes_[n].rung = true; }});
+  node.up = true;
+  node.loaded = false;
+  node.lease.reset();
+  node.next_beat = node.next_round = node.next_tell = node.next_fleet = node.busy_until = 0;
+  node.back_at = -1;
+}
+
+void World::load(std::size_t n) {
+  if (!state_reachable(n)) return;
+  auto& ledger = nodes_[n].controller->ledger();
+  for (const auto& [key, k] : store_) {
+    if (key.compare(0, protocol::kFinals.size(), protocol::kFinals) == 0) continue;
+    ledger.apply({key, k.value, base::Version(k.version)}, now());
+  }
+  ledger.caught_up(base::Revision(revision_));
+  nodes_[n].loaded = true;
+}
+
+void World::refresh(std::size_t n, const std::vector<std::string>& keys) {
+  for (const auto& key : keys) {
+    if (key.compare(0, protocol::kJobs.size(), protocol::kJobs) != 0 &&
+        key.compare(0, protocol::kChunks.size(), protocol::kChunks) != 0) {
+      continue;
+    }
+    const auto got = get(n, key);
+    if (got.answered && got.item.version.get() != 0) nodes_[n].controller->ledger().apply(got.item, now());
+  }
+}
+
+void World::beat(std::size_t n) {
+  NodeSim& node = nodes_[n];
+  const auto ttl = node.settings.tuning.member_ttl;
+  node.next_beat = t_ + ttl.count() / 4;
+  node.beat_now = false;
+  if (!state_reachable(n)) return;
+  if (!node.lease) {
+    leases_[++next_lease_] = {ttl.count(), t_ + ttl.count()};
+    node.lease = base::LeaseId(next_lease_);
+    const protocol::Life life{base::MemberId(name(n)), base::Incarnation(next_lease_)};
+    protocol::Transaction txn;
+    txn.writes.push_back({protocol::member_key(life.member), to_json(life), node.lease});
+    const auto done = apply(txn);
+    node.controller->begin_life(life);
+    node.controller->ledger().apply({txn.writes[0].key, *txn.writes[0].value, base::Version(done.revision.get())}, now());
+  }
+  const auto lease = leases_.find(node.lease->get());
+  if (lease == leases_.end()) {
+    node.lease.reset();
+    node.controller->end_life();
+    node.beat_now = true;
+    return;
+  }
+  lease->second.until = t_ + ttl.count();
+  node.controller->renewed(now(), get(n, protocol::kViewKey).item.version);
+  node.controller->follow(now());
+  if (const auto txn = node.controller->tend_view(now(), *node.lease)) {
+    const auto done = commit(n, *txn);
+    if (done.outcome == Outcome::kDone) {
+      for (const auto& w : txn->writes) {
+        node.controller->ledger().apply({w.key, w.value ? *w.value : Json(), base::Version(done.revision.get())}, now());
+      }
+      node.controller->follow(now());
+      node.beat_now = true;
+      node.rung = true;
+    }
+  }
+}
+
+void World::round(std::size_t n) {
+  NodeSim& node = nodes_[n];
+  auto& c = *node.controller;
+  node.rung = false;
+  node.next_round = t_ + node.settings.tuning.round_period.count();
+  const auto send = [&](std::vector<coordination::Order> orders) {
+    for (auto& o : orders) {
+      if (lose_orders_) continue;
+      if (t_ < hold_orders_until_) {
+        late_.push_back({hold_orders_until_, o.machine.get(), o, n});
+        continue;
+      }
+      if (cut(name(n), "workers") || cut(name(n), o.machine.get())) continue;
+      const auto w = workers_.find(o.machine.get());
+      if (w != workers_.end() && w->second.hung) {
+        late_.push_back({-1, o.machine.get(), o, n});
+        continue;
+      }
+      deliver(o, n);
+      if (repeat_orders_) late_.push_back({t_ + 20, o.machine.get(), o, n});
+    }
+  };
+  for (int i = 0; i < 6; ++i) {
+    c.follow(now());
+    auto routed = c.route(now());
+    for (auto& [member, offers] : routed) {
+      for (std::size_t m = 0; m < nodes_.size(); ++m) {
+        if (name(m) != member.get() || !nodes_[m].up || (m != n && cut(name(n), name(m)))) continue;
+        nodes_[m].controller->add_offers(offers, now());
+        nodes_[m].rung = true;
+      }
+    }
+    const auto plan = c.plan(now());
+    if (!plan.empty()) {
+      const auto done = commit(n, plan.txn);
+      if (done.outcome == Outcome::kDone) {
+        send(c.committed(plan, base::Version(done.revision.get()), now()));
+      } else if (done.outcome == Outcome::kConflict) {
+        refresh(n, done.failed);
+      } else if (done.outcome == Outcome::kUnknown) {
+        std::vector<std::string> keys;
+        for (const auto& w : plan.txn.writes) keys.push_back(w.key);
+        refresh(n, keys);
+      }
+    }
+    send(c.stops(now()));
+    if (plan.empty()) break;
+  }
+  for (const auto& txn : {c.finish_one(), c.sweep_orphans()}) {
+    if (!txn) continue;
+    const auto done = commit(n, *txn);
+    if (done.outcome == Outcome::kDone) {
+      for (const auto& w : txn->writes) {
+        c.ledger().apply({w.key, w.value ? *w.value : Json(), base::Version(done.revision.get())}, now());
+      }
+      node.rung = true;
+    }
+  }
+}
+
+void World::fleet(std::size_t n) {
+  NodeSim& node = nodes_[n];
+  auto& c = *node.controller;
+  node.next_fleet = t_ + 1;
+  if (!c.leads(now())) return;
+  if (c.ledger().catalogue().empty()) {
+    Json types = Json::array();
+    for (const auto& [type, cores] : {std::pair("small", 4), std::pair("big", 8)}) {
+      types.push_back({{"sku", type}, {"cores", cores}, {"gpus", 0}, {"memory_gb", cores * 4},
+                       {"price", cores * 0.1}, {"market_price", cores * 0.04}, {"ready_s", 5},
+                       {"fetch_gb_per_s", 1}, {"cache_gb", 50}, {"paddocks", {"a", "b"}}});
+    }
+    protocol::Transaction txn;
+    txn.writes.push_back({protocol::kCatalogueKey, Json{{"breeds", types}}, {}});
+    commit(n, txn);
+    return;
+  }
+  auto actions = c.plan_fleet(now(), 1000 + t_);
+  if (cloud_down_) return;
+  if (!actions.release.empty()) {
+    for (const auto& id : actions.release) {
+      workers_.erase(id.get());
+      ++releases_;
+    }
+    c.released(actions.release, now());
+    node.rung = true;
+  }
+  for (const auto& r : actions.plan.rent) {
+    const std::string hire = name(n) + "-" + std::to_string(c.self().life.get()) + "-" + std::to_string(++node.hires);
+    if (hires_.contains(hire)) broken("a rental's name is used twice: " + hire);
+    auto& got = hires_[hire];
+    for (int i = 0; i < r.count && capacity_[r.kind.type] > 0; ++i) {
+      --capacity_[r.kind.type];
+      const std::string id = "i-" + std::to_string(next_machine_++);
+      add_worker(id, r.kind.type, r.kind.zone, r.kind.spot, t_ + 5);
+      got.emplace_back(id);
+    }
+    if (static_cast<int>(got.size()) < r.count) c.refused(r.kind, now());
+    c.rented(r.kind, got, 1000 + t_);
+  }
+}
+
+void World::step_node(std::size_t n) {
+  NodeSim& node = nodes_[n];
+  if (!node.up) {
+    if (node.back_at >= 0 && t_ >= node.back_at) start_node(n);
+    return;
+  }
+  if (t_ < node.busy_until) return;
+  if (!node.loaded) load(n);
+  if (!node.loaded) return;
+  auto& c = *node.controller;
+  if (state_reachable(n)) {
+    const double lag = watch_lag_.contains(n) ? watch_lag_[n] : 0;
+    std::uint64_t upto = c.ledger().revision().get();
+    for (const Change& change : changes_) {
+      if (change.revision <= c.ledger().revision().get() || change.at + lag > t_) continue;
+      if (c.ledger().apply(change.item, now())) node.rung = true;
+      if (change.item.key == protocol::kViewKey || change.item.key == protocol::kLeadKey) node.beat_now = true;
+      upto = std::max(upto, change.revision);
+    }
+    c.ledger().caught_up(base::Revision(upto));
+    c.follow(now());
+  }
+  if (t_ >= node.next_beat || node.beat_now) beat(n);
+  if (t_ >= node.next_tell) {
+    node.next_tell = t_ + 0.7;
+    for (std::size_t m = 0; m < nodes_.size(); ++m) {
+      if (m == n || !nodes_[m].up || !nodes_[m].loaded || cut(name(n), name(m))) continue;
+      const auto said = nodes_[m].controller->heard_status(c.status(now()), now());
+      c.sibling_reached(base::MemberId(name(m)), now());
+      c.machines_gone(said.gone, now());
+      c.close_idle(said.close);
+    }
+  }
+  if (t_ >= node.next_round || node.rung) round(n);
+  if (t_ >= node.next_fleet) fleet(n);
+}
+
+// --- users and rules
+
+void World::submit(std::size_t n, JobSim& job) {
+  Json j = to_json(job.spec);
+  if (!nodes_[n].up || !nodes_[n].loaded) return;
+  const auto r = nodes_[n].users->submit(j.dump(), now());
+  if (r.status == 201 || r.status == 200) job.accepted = true;
+  if ((r.status == 400 || r.status == 422) && job.accepted) broken("forgotten: " + job.spec.id.get());
+}
+
+void World::poll() {
+  next_poll_ = t_ + 0.5;
+  for (auto& [id, job] : jobs_) {
+    if (!job.accepted) submit(0, job);
+    if (!job.accepted) continue;
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      if (!nodes_[n].up || !nodes_[n].loaded) continue;
+      if (job.withdraw_asked && !job.withdrawn_at && job.told_final.empty()) {
+        const auto r = nodes_[n].users->withdraw(id, now());
+        if (r.status == 200) job.withdrawn_at = t_;
+      }
+      const auto r = nodes_[n].users->status(id, now());
+      if (r.status == 404) broken("forgotten: " + id.get());
+      if (r.status != 200) continue;
+      const std::string status = Json::parse(r.body)["status"];
+      if (!job.told_final.empty() && status != job.told_final) {
+        broken("went_back: " + id.get() + " from " + job.told_final + " to " + status);
+      }
+      if (status == "done" && job.done.size() < job.spec.tasks) broken("not_done: " + id.get());
+      if (status == "withdrawn" && !job.withdraw_asked) broken("went_back: " + id.get() + " withdrawn by nobody");
+      if (status == "done" || status == "withdrawn") job.told_final = status;
+    }
+  }
+  for (std::size_t n = 0; n < nodes_.size(); ++n) {
+    if (!nodes_[n].up || !nodes_[n].loaded) continue;
+    if (nodes_[n].users->status(JobId("run-999999"), now()).status == 200) broken("invented: run-999999");
+  }
+}
+
+void World::check_rules() {
+  std::map<std::string, double> use;
+  for (const auto& [id, w] : workers_) {
+    if (!w.alive) continue;
+    for (const auto& [task, attempts] : w.tasks) {
+      const auto job = jobs_.find(task.job);
+      if (job == jobs_.end()) continue;
+      for (const Task& a : attempts) {
+        if (a.state != "running") continue;
+        use[job->second.spec.team] += job->second.spec.need.cores();
+        if (job->second.withdrawn_at && t_ > *job->second.withdrawn_at + cancel_s_) {
+          broken("ran_cancelled: " + task.job.get() + "/" + std::to_string(task.no));
+          return;
+        }
+      }
+    }
+  }
+  for (const Json& team : Json::parse("[" + teams_ + "]")) {
+    const double most = team["cpus_max"];
+    const double used = use[team["name"]];
+    if (most > 0 && used > most + 1e-6) {
+      broken("quota: team " + team["name"].get<std::string>() + " uses " + std::to_string(used));
+    }
+  }
+}
+
+void World::step() {
+  t_ += kStep;
+  expire_leases();
+  for (std::size_t i = 0; i < late_commits_.size();) {
+    if (t_ < late_commits_[i].first) {
+      ++i;
+      continue;
+    }
+    apply(late_commits_[i].second);
+    late_commits_.erase(late_commits_.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+  for (std::size_t i = 0; i < late_.size();) {
+    const auto w = workers_.find(late_[i].machine);
+    const bool hung = w != workers_.end() && w->second.hung;
+    if (hung || (late_[i].at >= 0 && t_ < late_[i].at)) {
+      ++i;
+      continue;
+    }
+    const Late l = late_[i];
+    late_.erase(late_.begin() + static_cast<std::ptrdiff_t>(i));
+    deliver(l.order, l.from);
+  }
+  step_workers();
+  for (std::size_t n = 0; n < nodes_.size(); ++n) step_node(n);
+  if (t_ >= next_poll_) poll();
+  check_rules();
+}
+
+void World::command(const std::string& line) {
+  std::istringstream in(line);
+  std::string word;
+  in >> word;
+  const auto arg = [&] {
+    std::string s;
+    in >> s;
+    return s;
+  };
+  const auto index = [](const std::string& n) { return static_cast<std::size_t>(std::stoul(n.substr(1))); };
+  std::map<std::string, std::string> options;
+  const auto rest = [&] {
+    std::string s;
+    while (in >> s) {
+      const auto eq = s.find('=');
+      options[s.substr(0, eq)] = eq == std::string::npos ? "1" : s.substr(eq + 1);
+    }
+  };
+  const auto option = [&](const char* k, double d) { return options.contains(k) ? std::stod(options[k]) : d; };
+  if (word == "team") {
+    const std::string team = arg();
+    const std::string least = arg(), most = arg();
+    teams_ += R"(,{"name":")" + team + R"(","cpus":)" + least + R"(,"cpus_max":)" + most + "}";
+  } else if (word == "nodes") {
+    nodes_.resize(std::stoul(arg()));
+    for (std::size_t n = 0; n < nodes_.size(); ++n) start_node(n);
+  } else if (word == "capacity") {
+    const std::string type = arg();
+    capacity_[type] = std::stoi(arg());
+  } else if (word == "machine") {
+    const std::string id = arg(), type = arg(), zone = arg();
+    add_worker(id, type, zone, arg() == "spot", t_);
+  } else if (word == "submit") {
+    const std::string id = arg(), kind = arg();
+    rest();
+    JobSim job;
+    job.spec.id = JobId(id);
+    job.spec.job_class = options.contains("class") ? options["class"] : "c";
+    job.spec.team = options.contains("team") ? options["team"] : "t";
+    job.spec.kind = kind == "service" ? protocol::Kind::kService : kind == "gang" ? protocol::Kind::kGang : protocol::Kind::kArray;
+    job.spec.rank = options["rank"] == "critical" ? protocol::Rank::kCritical : protocol::Rank::kStandard;
+    job.spec.tasks = static_cast<TaskNo>(option("tasks", 1));
+    job.spec.need.v = {option("cores", 1), 0, option("memory", 1)};
+    job.spec.image = "img";
+    job.spec.spot = options.contains("spot");
+    job.spec.one_zone = options.contains("one_zone");
+    job.spec.spread = options.contains("spread");
+    if (options.contains("zone")) job.spec.zone = options["zone"];
+    if (options.contains("type")) job.spec.types = {{options["type"]}};
+    job.run = option("run", 10);
+    submit(static_cast<std::size_t>(option("node", 0)), jobs_[job.spec.id] = job);
+  } else if (word == "withdraw") {
+    jobs_.at(JobId(arg())).withdraw_asked = true;
+    next_poll_ = 0;
+  } else if (word == "run") {
+    const double until = t_ + std::stod(arg());
+    while (t_ < until - 1e-9 && failures_.empty()) step();
+  } else if (word == "crash") {
+    const std::size_t n = index(arg());
+    nodes_[n].up = false;
+    const std::string back = arg();
+    nodes_[n].back_at = back.empty() ? -1 : t_ + std::stod(back);
+  } else if (word == "cut" || word == "mend") {
+    const std::string a = arg(), b = arg();
+    if (word == "cut") {
+      cuts_.insert({a, b});
+    } else {
+      cuts_.erase({a, b});
+    }
+  } else if (word == "state") {
+    state_down_ = arg() == "down";
+    if (!state_down_) {
+      for (auto& [id, l] : leases_) l.until = t_ + l.ttl;
+    }
+  } else if (word == "cloud") {
+    cloud_down_ = arg() == "down";
+  } else if (word == "die") {
+    Worker& w = workers_.at(arg());
+    w.alive = false;
+    w.tasks.clear();
+  } else if (word == "hang") {
+    workers_.at(arg()).hung = true;
+  } else if (word == "wake") {
+    workers_.at(arg()).hung = false;
+  } else if (word == "sick") {
+    workers_.at(arg()).sick = true;
+  } else if (word == "notice") {
+    Worker& w = workers_.at(arg());
+    w.taken_at = t_ + std::stod(arg());
+  } else if (word == "hold_orders") {
+    hold_orders_until_ = t_ + std::stod(arg());
+  } else if (word == "lose_orders") {
+    lose_orders_ = arg() == "on";
+  } else if (word == "repeat_orders") {
+    repeat_orders_ = arg() == "on";
+  } else if (word == "lose_commit") {
+    lose_commit_.insert(index(arg()));
+  } else if (word == "late_commit") {
+    const std::size_t n = index(arg());
+    late_commit_[n] = std::stod(arg());
+  } else if (word == "watch_lag") {
+    const std::size_t n = index(arg());
+    watch_lag_[n] = std::stod(arg());
+  } else if (word == "expect") {
+    const std::string what = arg();
+    if (what == "done" || what == "withdrawn") {
+      const JobSim& job = jobs_.at(JobId(arg()));
+      if (job.told_final != what) broken("expected " + what + ": " + job.spec.id.get() + " is '" + job.told_final + "'");
+    } else if (what == "running") {
+      const JobId id(arg());
+      const auto want = std::stoul(arg());
+      std::size_t n = 0;
+      for (const auto& [m, w] : workers_) {
+        for (const auto& [task, attempts] : w.tasks) {
+          for (const Task& a : attempts) n += w.alive && !w.hung && task.job == id && a.state == "running";
+        }
+      }
+      if (n != want) broken("expected " + std::to_string(want) + " running of " + id.get() + ", not " + std::to_string(n));
+    } else if (what == "machines") {
+      const auto want = std::stoul(arg());
+      if (workers_.size() != want) broken("expected " + std::to_string(want) + " machines, not " + std::to_string(workers_.size()));
+    } else if (what == "most_starts") {
+      const auto want = std::stoul(arg());
+      if (starts_ > want) broken("expected at most " + std::to_string(want) + " starts, not " + std::to_string(starts_));
+    } else if (what == "submit") {
+      const int status = std::stoi(arg());
+      std::string body;
+      std::getline(in, body);
+      const auto r = nodes_[0].users->submit(body, now());
+      if (r.status != status) broken("expected " + std::to_string(status) + ", not " + std::to_string(r.status) + " " + r.body);
+      if (r.status == 503 && r.retry_after_s == 0) broken("a refusal without Retry-After");
+    } else {
+      broken("unknown expectation: " + line);
+    }
+  } else {
+    broken("unknown command: " + line);
+  }
+}
+
+std::vector<std::string> World::run(const std::string& text) {
+  std::istringstream in(text);
+  std::string line;
+  int number = 0;
+  while (failures_.empty() && std::getline(in, line)) {
+    ++number;
+    if (line.empty() || line[0] == '#') continue;
+    command(line);
+    if (!failures_.empty()) failures_.push_back("in line " + std::to_string(number) + ": " + line);
+  }
+  if (starts_ == 0 && failures_.empty()) broken("nothing_ran");
+  return failures_;
+}
+
+}  // namespace saddleslip::testing
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,160 @@
+// A small world for scenarios: stand-ins for the state service, the cloud and the workers, and
+// controllers whose loops are played in steps of simulated time. It can hold, delay and repeat
+// orders, cut links, lose answers, crash processes and machines, and checks PROTOCOL's rules after
+// every step. No clock, no luck: the same scenario plays the same way every time.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/controller.h"
+#include "users.h"
+
+namespace saddleslip::testing {
+
+using base::JobId;
+using base::MachineId;
+using base::TaskId;
+using base::TaskNo;
+using base::Time;
+using protocol::Command;
+using protocol::Json;
+
+class World {
+ public:
+  // Runs a scenario's text; returns what went wrong, line by line (empty: all as expected).
+  std::vector<std::string> run(const std::string& text);
+
+ private:
+  struct Key {
+    Json value;
+    std::uint64_t version = 0;
+    std::uint64_t lease = 0;
+  };
+  struct Lease {
+    double ttl = 0, until = 0;
+  };
+  struct Change {
+    std::uint64_t revision;
+    protocol::Item item;
+    double at;
+  };
+  struct Task {
+    std::uint64_t attempt = 0;
+    std::string state, cause;
+    double ready = 0, ends = 0;
+  };
+  struct Worker {
+    std::string id, type, zone;
+    bool spot = false, alive = true, hung = false, sick = false;
+    double boots = 0;
+    std::uint64_t session = 1, sequence = 0, token = 0;
+    double last_answered = 0;  // when its last answered report was sent
+    double next_report = 0;
+    std::size_t node = 0;
+    std::map<TaskId, std::vector<Task>> tasks;
+    std::optional<double> taken_at;
+  };
+  struct Late {
+    double at;
+    std::string machine;
+    coordination::Order order;
+    std::size_t from;
+  };
+  struct NodeSim {
+    base::Settings settings;
+    std::unique_ptr<coordination::Controller> controller;
+    std::unique_ptr<Users> users;
+    std::unique_ptr<std::mutex> mutex;
+    bool up = false, loaded = false, rung = true, beat_now = true;
+    std::optional<base::LeaseId> lease;
+    double next_beat = 0, next_round = 0, next_tell = 0, next_fleet = 0, busy_until = 0;
+    double back_at = -1;
+    std::uint64_t hires = 0;
+  };
+  struct JobSim {
+    protocol::JobSpec spec;
+    double run = 10;
+    bool accepted = false, withdraw_asked = false;
+    std::optional<double> withdrawn_at;
+    std::string told_final;
+    std::set<TaskNo> done;
+  };
+
+  double t_ = 0;
+  Time now() const;
+
+  // the stand-ins
+  void write(const std::string& key, const Json& value, std::uint64_t lease, std::uint64_t revision);
+  protocol::StateClient::Committed commit(std::size_t node, const protocol::Transaction& txn);
+  protocol::StateClient::Committed apply(const protocol::Transaction& txn);
+  protocol::StateClient::Got get(std::size_t node, const std::string& key);
+  bool state_reachable(std::size_t node) const;
+  void expire_leases();
+  void step_workers();
+  void execute(Worker& w, const std::vector<Command>& commands);
+  protocol::Report report_of(Worker& w);
+  void report(Worker& w);
+  void deliver(const coordination::Order& order, std::size_t from);
+  void end_session(Worker& w);
+  Worker& add_worker(const std::string& id, const std::string& type, const std::string& zone,
+                     bool spot, double boots);
+
+  // the controllers
+  void start_node(std::size_t n);
+  void step_node(std::size_t n);
+  void beat(std::size_t n);
+  void load(std::size_t n);
+  void round(std::size_t n);
+  void fleet(std::size_t n);
+  void refresh(std::size_t n, const std::vector<std::string>& keys);
+  bool cut(const std::string& a, const std::string& b) const;
+
+  // users and rules
+  void submit(std::size_t node, JobSim& job);
+  void poll();
+  void check_start(const Worker& w, const TaskId& task);
+  void check_rules();
+  void broken(const std::string& what);
+  void command(const std::string& line);
+  void step();
+
+  std::map<std::string, Key> store_;
+  std::map<std::uint64_t, Lease> leases_;
+  std::vector<Change> changes_;
+  std::uint64_t revision_ = 0, next_lease_ = 0;
+  bool state_down_ = false;
+  std::set<std::size_t> lose_commit_;    // the next commit of this node is carried out, unanswered
+  std::map<std::size_t, double> late_commit_;  // ... or carried out this much later
+  std::vector<std::pair<double, protocol::Transaction>> late_commits_;
+  std::map<std::size_t, double> watch_lag_;
+
+  std::map<std::string, Worker> workers_;
+  std::vector<Late> late_;
+  double hold_orders_until_ = -1;
+  bool lose_orders_ = false;
+  bool repeat_orders_ = false;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  bool cloud_down_ = false;
+  int next_machine_ = 1;
+  std::map<std::string, int> capacity_;
+  std::map<std::string, std::vector<MachineId>> hires_;
+  int releases_ = 0;
+
+  std::vector<NodeSim> nodes_;
+  std::string settings_json_;
+  std::map<JobId, JobSim> jobs_;
+  std::vector<std::string> failures_;
+  double next_poll_ = 0;
+  std::size_t starts_ = 0;
+  std::string teams_ = R"({"name":"t","cpus":0,"cpus_max":0})";
+  double report_s_ = 1, lease_s_ = 10, cancel_s_ = 30;
+};
+
+}  // namespace saddleslip::testing
