Machines that have a task's image come first

The smallest exception: within a tier pairs whose machine has the image are packed first, then those that are fetching it, then the rest; a part that has it beats a roomier one. Scores, ties and rescoring are as designed. Ruled out: late rounds (starts are sent within 0.1 s of acceptance).

--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -1,10 +1,13 @@
 // The machines that report to this process: what they last said, and what they were last told.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "bookkeeping/ledger.h"
 
@@ -30,11 +33,29 @@
   bool closed = false;     // takes no new tasks
   bool give_back = false;  // its release was asked for
   std::set<TaskId> evict;  // tasks to be stopped, though their jobs live on
+  // Images that it has, as far as its tasks have shown, the latest used last; and those under way.
+  std::vector<std::pair<std::string, double>> images;
+  std::set<std::string> pulling;
   std::map<TaskId, Time> ran;  // when a task was first seen running
   std::set<JobId> failed_jobs;  // whose tasks failed here since the last success
   int errors = 0;
   bool sick = false;
 
+  bool has_image(const std::string& image) const {
+    return std::any_of(images.begin(), images.end(),
+                       [&image](const auto& i) { return i.first == image; });
+  }
+  // A task has run here, so its image is here; the least recently used ones give way.
+  void used_image(const std::string& image, double gb, double cache_gb) {
+    std::erase_if(images, [&image](const auto& i) { return i.first == image; });
+    images.emplace_back(image, gb);
+    double sum = 0;
+    for (const auto& i : images) sum += i.second;
+    while (images.size() > 1 && sum > cache_gb) {
+      sum -= images.front().second;
+      images.erase(images.begin());
+    }
+  }
   bool fenced() const { return last.token >= floor; }
 };
 
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -221,10 +221,20 @@
                  report.notice->count());
   }
   std::map<TaskId, Time> ran;
+  const auto* type = ledger_.type(report.type);
+  m.pulling.clear();
   bool busy = !ledger_.held_by(report.machine).empty();
   for (const auto& [task, attempts] : report.tasks) {
     for (const auto& t : attempts) {
       if (t.state != protocol::TaskState::kEnded) busy = true;
+      if (const Job* job = ledger_.job(task.job); job && type) {
+        const auto& spec = job->record.spec;
+        if (t.state == protocol::TaskState::kPulling) {
+          m.pulling.insert(spec.image);
+        } else if (t.state == protocol::TaskState::kRunning || t.cause == protocol::Cause::kDone) {
+          m.used_image(spec.image, spec.image_gb, type->cache_gb);
+        }
+      }
       if (t.state == protocol::TaskState::kRunning) {
         const auto before = m.ran.find(task);
         ran[task] = before == m.ran.end() ? now : before->second;
@@ -348,6 +358,7 @@
   r.open = !m.closed && fresh(m, now);
   r.free = free_room(m, &r.lower);
   r.tasks = static_cast<std::uint32_t>(ledger_.held_by(m.last.machine).size());
+  for (const auto& [image, gb] : m.images) r.images.push_back(image);
   r.idle_s = r.tasks > 0 ? 0.0 : base::between(m.idle_since, now).count();
   return r;
 }
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -19,6 +19,7 @@
 
 constexpr Seconds kAvoidAfterFailure{30.0};
 constexpr Seconds kStopRepeat{2.0};
+constexpr int kImagePasses = 3;  // the image is there, under way, missing
 constexpr Seconds kPreemptRepeat{6.0};
 constexpr std::size_t kMaxRecordBytes = 48 * 1024;  // a transaction holds 64 KiB in all
 
@@ -212,7 +213,6 @@
     Group g;
     g.need = spec.need;
     g.count = w.tasks.size();
-    g.tier = tier_of(*w.job);
     const auto failing = failures_.find(spec.id);
     g.allowed = [&, failing](std::size_t b) {
       const Report& r = at_bin[b]->last;
@@ -257,7 +257,20 @@
       ++w.zones[r.zone];
       planned[spec.team] += spec.need;
     };
-    groups.push_back(std::move(g));
+    // An image that has to be fetched first can take longer than all else: of the machines with
+    // room those that have it come first, then those that are fetching it.
+    for (int pass = 0; pass < kImagePasses; ++pass) {
+      Group each = g;
+      each.tier = tier_of(*w.job) * kImagePasses + pass;
+      if (pass + 1 < kImagePasses) {
+        each.allowed = [&, pass, allowed = g.allowed](std::size_t b) {
+          const Machine& m = *at_bin[b];
+          return (pass == 0 ? m.has_image(spec.image) : m.pulling.contains(spec.image)) &&
+                 allowed(b);
+        };
+      }
+      groups.push_back(std::move(each));
+    }
   }
   pack(groups, bins, scale);
 
@@ -287,8 +300,8 @@
   plan.starts = std::move(kept);
 
   std::vector<std::pair<const Job*, std::size_t>> left;
-  for (std::size_t g = 0; g < groups.size(); ++g) {
-    if (groups[g].count > 0) left.emplace_back(waiting[g].job, groups[g].count);
+  for (const Waiting& w : waiting) {
+    if (!w.tasks.empty()) left.emplace_back(w.job, w.tasks.size());
   }
   preempt(left, now);
 
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -14,9 +14,12 @@
   MemberId member;
   std::vector<MachineRoom> machines;
 
-  std::size_t room_for(const protocol::JobSpec& spec) const {
+  std::size_t room_for(const protocol::JobSpec& spec, bool with_image = false) const {
     std::size_t n = 0;
     for (const MachineRoom& m : machines) {
+      if (with_image && std::find(m.images.begin(), m.images.end(), spec.image) == m.images.end()) {
+        continue;
+      }
       if (!m.open || !may_run(spec, m.type, m.zone, m.spot)) continue;
       double fits = 1e9;
       for (std::size_t i = 0; i < m.free.v.size(); ++i) {
@@ -143,9 +146,16 @@
       // Others go to the roomiest part that fits them.
       while (next < waiting.size()) {
         std::size_t best = all.size();
+        bool best_has = false;
         for (std::size_t p = 0; p < all.size(); ++p) {
           if (all[p].room_for(spec) == 0) continue;
-          if (best == all.size() || all[p].free_cores() > all[best].free_cores()) best = p;
+          // A part where the image is already beats a roomier one where it must be fetched.
+          const bool has = all[p].room_for(spec, true) > 0;
+          if (best == all.size() || has > best_has ||
+              (has == best_has && all[p].free_cores() > all[best].free_cores())) {
+            best = p;
+            best_has = has;
+          }
         }
         if (best == all.size()) break;
         const std::size_t n =
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -135,6 +135,7 @@
   Resources lower;  // held by tasks of standard and idle rank, which urgent work may displace
   std::uint32_t tasks = 0;
   double idle_s = 0;  // since it last had a task
+  std::vector<std::string> images;
 };
 
 struct MemberStatus {
