--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -355,7 +355,8 @@
   r.type = m.last.type;
   r.zone = m.last.zone;
   r.spot = m.last.spot;
-  r.open = !m.closed && fresh(m, now);
+  r.silent = !fresh(m, now);
+  r.open = !m.closed && !r.silent;
   r.free = free_room(m, &r.lower);
   r.tasks = static_cast<std::uint32_t>(ledger_.held_by(m.last.machine).size());
   for (const auto& [image, gb] : m.images) r.images.push_back(image);
@@ -388,11 +389,7 @@
   for (const MachineRoom& m : status.machines) zones_[m.id] = m.zone;
   Instructions out;
   for (const MachineId& id : status.give_back) {
-    if (gone_.contains(id)) {
-      out.gone.push_back(id);
-    } else if (leads(now)) {
-      to_release_.insert(id);
-    }
+    if (gone_.contains(id)) out.gone.push_back(id);
   }
   if (leads(now)) {
     auto& close = to_close_[status.from.member];
@@ -446,8 +443,17 @@
   FleetActions actions;
   if (!leads(now) || !entitled(now) || ledger_.catalogue().empty()) return actions;
   count_arrivals(now);
-  for (const MachineId& id : status(now).give_back) to_release_.insert(id);
-  actions.release.assign(to_release_.begin(), to_release_.end());
+  // What owners ask for now: one that was silent may have come back since it was last asked for.
+  std::set<MachineId> release = to_release_;
+  for (const MachineId& id : status(now).give_back) release.insert(id);
+  for (const auto& [member, s] : siblings_) {
+    if (base::between(s.heard, now) > kStatusFresh || !has_member(*ledger_.view(), s.status.from)) {
+      continue;
+    }
+    release.insert(s.status.give_back.begin(), s.status.give_back.end());
+  }
+  std::erase_if(release, [&](const MachineId& id) { return gone_.contains(id); });
+  actions.release.assign(release.begin(), release.end());
 
   FleetInput in;
   in.now = now;
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -169,6 +169,7 @@
   Token base_token_;
   Time followed_at_{};
   std::optional<Time> entitled_since_;
+  std::optional<Time> many_mute_at_;
 
   std::map<MachineId, Machine> machines_;
   std::map<MachineId, Time> owned_since_;  // for machines never heard: the base of lease proofs
@@ -193,7 +194,7 @@
   std::map<MachineKind, Time> refused_;
   std::vector<protocol::Booting> booting_;
   std::map<MachineId, Time> unheard_;  // listed, but reporting to nobody, since
-  std::set<MachineId> to_release_;
+  std::set<MachineId> to_release_;  // what the leader itself found to be of no use
   struct Arrivals {
     protocol::JobSpec spec;
     std::deque<std::pair<Time, TaskNo>> recent;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -67,6 +67,17 @@
     bins.push_back({t->size});
   }
 
+  // A zone most of whose machines are silent is cut off: new ones there could not be used either.
+  std::map<std::string, std::pair<int, int>> silent;
+  for (const MachineRoom& m : in.machines) {
+    ++silent[m.zone].second;
+    if (m.silent) ++silent[m.zone].first;
+  }
+  const auto cut_off = [&silent](const std::string& zone) {
+    const auto z = silent.find(zone);
+    return z != silent.end() && z->second.first >= 2 && z->second.first * 2 > z->second.second;
+  };
+
   std::vector<Group> groups;
   for (const Demand& d : in.demand) {
     Group g;
@@ -99,6 +110,7 @@
         for (const bool spot : {true, false}) {
           if (d.spec ? !may_run(*d.spec, t.name, zone, spot) : spot) continue;
           if (spot && in.spot_share <= 0) continue;
+          if (cut_off(zone) && !(d.spec && d.spec->zone)) continue;
           const MachineKind k{t.name, zone, spot};
           const auto refused = in.refused.find(k);
           if (refused != in.refused.end() &&
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -508,7 +508,10 @@
   }
   // One silent machine is most likely dead, and its release is the quickest proof. When many fall
   // silent at once the network is: they may all be well, and come back.
-  const bool few = mute.size() <= std::max<std::size_t>(1, owned / 5);
+  // And when the network heals, they don't all come back in the same instant.
+  if (mute.size() > std::max<std::size_t>(1, owned / 5)) many_mute_at_ = now;
+  const bool few = !many_mute_at_ || base::between(*many_mute_at_, now) >
+                                         settings_.worker_lease * 0.5 + settings_.report_every * 4.0;
   std::set<MachineId> next;
   for (const MachineId& id : mute) {
     const auto at = machines_.find(id);
--- a/src/protocol/records.cpp
+++ b/src/protocol/records.cpp
@@ -176,7 +176,8 @@
   Json machines = Json::array();
   for (const MachineRoom& m : s.machines) {
     machines.push_back({m.id.get(), m.type, m.zone, m.spot, m.open, m.free.v, m.lower.v, m.tasks,
-                        m.idle_s, m.images});
+                        m.idle_s, m.images,
+                        m.silent});
   }
   Json back = Json::array();
   for (const MachineId& id : s.give_back) back.push_back(id.get());
@@ -202,6 +203,7 @@
       room.lower.v = m.at(6).get<std::array<double, 3>>();
       room.tasks = m.at(7).get<std::uint32_t>();
       room.idle_s = m.at(8).get<double>();
+      if (m.size() > 10) room.silent = m.at(10).get<bool>();
       if (m.size() > 9) room.images = m.at(9).get<std::vector<std::string>>();
       s.machines.push_back(std::move(room));
     }
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -136,6 +136,7 @@
   std::uint32_t tasks = 0;
   double idle_s = 0;  // since it last had a task
   std::vector<std::string> images;
+  bool silent = false;  // no report for a while
 };
 
 struct MemberStatus {
