Services go where controllers are

Preference, not a rule: after the image, machines in controllers' zones come first for services and last for other work; the fleet rents with the same bias.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -93,6 +93,7 @@
     if (!root.at("siblings").is_array()) throw BadSettings("settings: siblings must be an array");
     for (const Json& p : root.at("siblings")) {
       Sibling sib{MemberId(need_string(p, "member", "siblings.")),
+                  p.contains("area") ? need_string(p, "area", "siblings.") : "",
                   parse_address(need_string(p, "address", "siblings."), "siblings.address")};
       if (sib.member == s.member) throw BadSettings("settings: siblings names this member");
       s.siblings.push_back(std::move(sib));
@@ -153,6 +154,8 @@
   s.clock_off = Seconds(number_or(params, "skew_ms", 250, "settings.") / 1000.0);
 
   // A member's authority must end, and its machines be taken over, well inside a worker's lease.
+  s.controller_zones.insert(s.zone);
+  for (const Sibling& sib : s.siblings) s.controller_zones.insert(sib.zone);
   s.tuning.member_ttl = std::min(s.tuning.member_ttl, s.worker_lease * 0.4);
   return s;
 }
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -27,6 +28,7 @@
 
 struct Sibling {
   MemberId member;
+  std::string zone;
   Address address;
 };
 
@@ -64,6 +66,7 @@
   Address state;
   int size = 1;
   std::vector<std::string> zones;
+  std::set<std::string> controller_zones;  // a cut between zones leaves these in reach
   std::map<std::string, Team> teams;
   std::vector<Objective> objectives;
   // workers
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -460,6 +460,7 @@
   in.catalogue = &ledger_.catalogue();
   in.refused = refused_;
   in.idle_return = settings_.tuning.idle_return;
+  in.controller_zones = settings_.controller_zones;
   in.spot_share = settings_.tuning.spot_share;
   std::set<MachineId> heard;
   std::map<MachineId, MemberId> owner;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Seconds kRefusedFor{12.0};   // a kind that was refused is left alone for this long
+constexpr double kFarFromControllers = 1.25;
+constexpr double kInTheWay = 1.05;
 constexpr std::size_t kMostAtOnce = 12;  // machines rented by one plan
 
 // What a kind costs for each task of the demand that it can really be filled with.
@@ -124,6 +126,9 @@
             return s.kind.zone == zone;
           });
           cost *= 1.0 + 1e-4 * static_cast<double>(have);
+          // Services go where controllers are, and other work keeps out of the way.
+          const bool service = !d.spec || d.spec->kind == protocol::Kind::kService;
+          if (service != in.controller_zones.contains(zone)) cost *= service ? kFarFromControllers : kInTheWay;
           if (!best || cost < least) {
             best = &t;
             kind = k;
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,7 @@
   std::map<MachineKind, Time> refused;      // when the cloud last had none
   Seconds idle_return{40};
   double spot_share = 1.0;
+  std::set<std::string> controller_zones;
   Time now{};
 };
 
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -19,7 +19,7 @@
 
 constexpr Seconds kAvoidAfterFailure{30.0};
 constexpr Seconds kStopRepeat{2.0};
-constexpr int kImagePasses = 3;  // the image is there, under way, missing
+constexpr int kPasses = 6;  // image there, under way, missing; each in the better zones first
 constexpr Seconds kPreemptRepeat{6.0};
 constexpr std::size_t kMaxRecordBytes = 48 * 1024;  // a transaction holds 64 KiB in all
 
@@ -257,18 +257,20 @@
       ++w.zones[r.zone];
       planned[spec.team] += spec.need;
     };
-    // An image that has to be fetched first can take longer than all else: of the machines with
-    // room those that have it come first, then those that are fetching it.
-    for (int pass = 0; pass < kImagePasses; ++pass) {
+    // Which machines with room come first. An image that has to be fetched can take longer than
+    // all else. And where some zones have no controller, a cut between zones takes all that runs
+    // there: services go where controllers are, and other work leaves them the room.
+    const auto preference = [&](const Machine& m) {
+      const int image = m.has_image(spec.image) ? 0 : m.pulling.contains(spec.image) ? 2 : 4;
+      const bool reachable = settings_.controller_zones.contains(m.last.zone);
+      return image + (reachable == (spec.kind == Kind::kService) ? 0 : 1);
+    };
+    for (int pass = 0; pass < kPasses; ++pass) {
       Group each = g;
-      each.tier = tier_of(*w.job) * kImagePasses + pass;
-      if (pass + 1 < kImagePasses) {
-        each.allowed = [&, pass, allowed = g.allowed](std::size_t b) {
-          const Machine& m = *at_bin[b];
-          return (pass == 0 ? m.has_image(spec.image) : m.pulling.contains(spec.image)) &&
-                 allowed(b);
-        };
-      }
+      each.tier = tier_of(*w.job) * kPasses + pass;
+      each.allowed = [&, pass, preference, allowed = g.allowed](std::size_t b) {
+        return preference(*at_bin[b]) == pass && allowed(b);
+      };
       groups.push_back(std::move(each));
     }
   }
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -14,12 +14,15 @@
   MemberId member;
   std::vector<MachineRoom> machines;
 
-  std::size_t room_for(const protocol::JobSpec& spec, bool with_image = false) const {
+  std::size_t room_for(const protocol::JobSpec& spec) const {
+    return room_if(spec, [](const MachineRoom&) { return true; });
+  }
+
+  template <class F>
+  std::size_t room_if(const protocol::JobSpec& spec, F wanted) const {
     std::size_t n = 0;
     for (const MachineRoom& m : machines) {
-      if (with_image && std::find(m.images.begin(), m.images.end(), spec.image) == m.images.end()) {
-        continue;
-      }
+      if (!wanted(m)) continue;
       if (!m.open || !may_run(spec, m.type, m.zone, m.spot)) continue;
       double fits = 1e9;
       for (std::size_t i = 0; i < m.free.v.size(); ++i) {
@@ -146,15 +149,26 @@
       // Others go to the roomiest part that fits them.
       while (next < waiting.size()) {
         std::size_t best = all.size();
-        bool best_has = false;
+        int best_rank = 0;
         for (std::size_t p = 0; p < all.size(); ++p) {
           if (all[p].room_for(spec) == 0) continue;
-          // A part where the image is already beats a roomier one where it must be fetched.
-          const bool has = all[p].room_for(spec, true) > 0;
-          if (best == all.size() || has > best_has ||
-              (has == best_has && all[p].free_cores() > all[best].free_cores())) {
+          // A part where the image is already beats a roomier one where it must be fetched, and
+          // so does one with room where controllers are.
+          const auto has = [&](const MachineRoom& m) {
+            return std::find(m.images.begin(), m.images.end(), spec.image) != m.images.end();
+          };
+          const auto near = [&](const MachineRoom& m) {
+            return settings_.controller_zones.contains(m.zone);
+          };
+          const int rank =
+              all[p].room_if(spec, [&](const auto& m) { return has(m) && near(m); }) > 0 ? 3
+              : all[p].room_if(spec, has) > 0                                           ? 2
+              : all[p].room_if(spec, near) > 0                                          ? 1
+                                                                                        : 0;
+          if (best == all.size() || rank > best_rank ||
+              (rank == best_rank && all[p].free_cores() > all[best].free_cores())) {
             best = p;
-            best_has = has;
+            best_rank = rank;
           }
         }
         if (best == all.size()) break;
