--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -22,7 +22,9 @@
 inline Time after(Time t, Seconds s) {
   return t + std::chrono::duration_cast<SteadyClock::duration>(s);
 }
-inline Seconds between(Time from, Time to) { return std::chrono::duration_cast<Seconds>(to - from); }
+inline Seconds between(Time from, Time to) {
+  return std::chrono::duration_cast<Seconds>(to - from);
+}
 
 // Seconds since 1970 by the time of day.
 double wall_seconds();
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -113,7 +113,8 @@
     }
   }
   if (params.contains("teams")) {
-    if (!params.at("teams").is_array()) throw BadSettings("settings: settings.teams must be an array");
+    if (!params.at("teams").is_array())
+      throw BadSettings("settings: settings.teams must be an array");
     for (const Json& t : params.at("teams")) {
       Team team;
       const std::string w = "settings.teams.";
@@ -133,6 +134,7 @@
       obj.kind = o.value("kind", "");
       if (o.contains("class") && o.at("class").is_string()) obj.job_class = o.at("class");
       obj.within_s = number_or(o, "within_s", 0, "settings.objectives.");
+      obj.times = number_or(o, "times", 1, "settings.objectives.");
       obj.share = number_or(o, "share", 0, "settings.objectives.");
       s.objectives.push_back(std::move(obj));
     }
@@ -144,7 +146,8 @@
   const Json& state = section(params, "state");
   s.state_rps = number_or(state, "rps", 200, "settings.state.", 1);
   s.state_write_rps = number_or(state, "write_rps", 60, "settings.state.", 1);
-  s.value_bytes = static_cast<std::size_t>(number_or(state, "value_kb", 16, "settings.state.", 1) * 1024);
+  s.value_bytes =
+      static_cast<std::size_t>(number_or(state, "value_kb", 16, "settings.state.", 1) * 1024);
   s.txn_ops = static_cast<std::size_t>(number_or(state, "txn_ops", 12, "settings.state.", 4));
   const Json& cloud = section(params, "cloud");
   s.cloud_rps = number_or(cloud, "rps", 2, "settings.cloud.", 0.01);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -42,18 +42,19 @@
   std::string job_class;  // empty: all
   double within_s = 0;
   double share = 0;
+  double times = 1;  // of the deadline
 };
 
 // What operators may set; all of it has defaults. docs/operators.md describes each field.
 struct Tuning {
-  Seconds round_period{1.0};      // how often a quiet controller starts a round
-  Seconds member_ttl{5.0};        // a silent member's authority ends after this
-  Seconds idle_return{15.0};      // an idle machine goes back after this
-  double headroom = 0.5;          // room kept for arriving services, as a share of what arrives
-                                  // while a machine boots
-  Seconds mute_release{0.0};      // a mute machine is given back after this; 0: from the lease
-  double spot_share = 1.0;        // the share of spot-tolerant demand that is rented as spot
-  int max_connections = 0;        // accepted connections; 0: from the platform's limit
+  Seconds round_period{1.0};  // how often a quiet controller starts a round
+  Seconds member_ttl{5.0};    // a silent member's authority ends after this
+  Seconds idle_return{15.0};  // an idle machine goes back after this
+  double headroom = 0.5;      // room kept for arriving services, as a share of what arrives
+                              // while a machine boots
+  Seconds mute_release{0.0};  // a mute machine is given back after this; 0: from the lease
+  double spot_share = 1.0;    // the share of spot-tolerant demand that is rented as spot
+  int max_connections = 0;    // accepted connections; 0: from the platform's limit
 };
 
 struct Settings {
--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -28,16 +28,17 @@
   std::optional<Time> taken_at;  // when the cloud's notice says that the machine goes
   // Tokens. A direct order is given under a token of its own; the next answer carries a higher one.
   // Once the worker has shown that, no copy of the order can be carried out any more.
-  Token token;  // for the next answer or order
-  Token floor;  // what the worker must have shown for "fenced"
+  Token token;             // for the next answer or order
+  Token floor;             // what the worker must have shown for "fenced"
   bool closed = false;     // takes no new tasks
   bool give_back = false;  // its release was asked for
   std::set<TaskId> evict;  // tasks to be stopped, though their jobs live on
   // Images that it has, as far as its tasks have shown, the latest used last; and those under way.
   std::vector<std::pair<std::string, double>> images;
   std::set<std::string> pulling;
-  std::map<TaskId, Time> ran;  // when a task was first seen running
-  std::set<JobId> failed_jobs;  // whose tasks failed here since the last success
+  std::map<TaskId, Seconds> ran_before;  // how long those ran that are over and not yet on record
+  std::map<TaskId, Time> ran;            // when a task was first seen running
+  std::set<JobId> failed_jobs;           // whose tasks failed here since the last success
   int errors = 0;
   bool sick = false;
 
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr Seconds kGoneKept{600.0};      // late reports and old lists may still name the machine
-constexpr Seconds kReachable{4.0};       // a sibling not reached for this long counts as cut off
-constexpr Seconds kStatusFresh{5.0};     // a sibling's room is relied on for this long
+constexpr Seconds kGoneKept{600.0};   // late reports and old lists may still name the machine
+constexpr Seconds kReachable{4.0};    // a sibling not reached for this long counts as cut off
+constexpr Seconds kStatusFresh{5.0};  // a sibling's room is relied on for this long
 constexpr Seconds kArrivalWindow{120.0};
 
 }  // namespace
@@ -241,11 +241,14 @@
       }
     }
   }
+  for (const auto& [task, since] : m.ran) {
+    if (!ran.contains(task)) m.ran_before[task] = base::between(since, now);
+  }
+  std::erase_if(m.ran_before, [&](const auto& r) { return !report.tasks.contains(r.first); });
   m.ran = std::move(ran);
   if (busy) m.idle_since = now;
-  std::erase_if(m.evict, [&](const TaskId& t) {
-    return !ledger_.held_by(report.machine).contains(t);
-  });
+  std::erase_if(m.evict,
+                [&](const TaskId& t) { return !ledger_.held_by(report.machine).contains(t); });
   // A start that the worker hasn't heard of can't reach it any more: every answer that carried it
   // was taken or dropped before this report was sent, and direct orders are fenced by the token.
   if (is_hello && m.fenced()) {
@@ -275,8 +278,8 @@
       }
       const bool wanted = ours && job && !job->record.withdrawn && !m.evict.contains(task);
       if (wanted) continue;
-      const bool save = ours && job && !job->record.withdrawn &&
-                        job->record.spec.checkpoint.count() > 0;
+      const bool save =
+          ours && job && !job->record.withdrawn && job->record.spec.checkpoint.count() > 0;
       if (t.state == protocol::TaskState::kSaving && save) continue;
       out.push_back({Command::Op::kKill, task, t.attempt,
                      save ? job->record.spec.save + Seconds(1.0) : Seconds(0)});
@@ -505,7 +508,8 @@
     std::size_t n = job.pending();
     if (n == 0) continue;
     const auto failing = failures_.find(id);
-    if (failing != failures_.end() && failing->second.machines.size() >= 3 && job.done == 0) continue;
+    if (failing != failures_.end() && failing->second.machines.size() >= 3 && job.done == 0)
+      continue;
     if (ledger_.limited(spec.team)) {
       const base::Team& team = settings_.teams.at(spec.team);
       auto [room, is_new] = team_room.try_emplace(spec.team);
@@ -540,7 +544,8 @@
       // What was there at the start of this leader's count is not an arrival.
       if (base::between(led_since_, at) > Seconds(2.0)) tasks += n;
     }
-    const double span = std::clamp(base::between(led_since_, now).count(), 30.0, kArrivalWindow.count());
+    const double span =
+        std::clamp(base::between(led_since_, now).count(), 30.0, kArrivalWindow.count());
     Demand d;
     d.need = a.spec.need;
     d.count = static_cast<std::size_t>(
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -98,6 +98,10 @@
   void machines_gone(const std::vector<MachineId>& machines, Time now);
   void close_idle(const std::vector<MachineId>& machines);
 
+  void tell_time(Time now, double wall_now) {
+    wall_offset_ = wall_now - base::between(Time{}, now).count();
+  }
+
   // --- rounds
   void add_offers(const protocol::Offers& offers, Time now);
   // Splits waiting tasks of this node's jobs among the parts; own shares go to its own pool.
@@ -156,6 +160,12 @@
   void count_arrivals(Time now);
   void preempt(const std::vector<std::pair<const Job*, std::size_t>>& waiting, Time now);
   int tier_of(const Job& job) const;
+  void find_guaranteed();
+  // When a job should be complete, by the time of day: its deadline while that can be kept, then
+  // the later ones that the objectives name; without any, far off.
+  double due(const Job& job, Time now) const;
+  Seconds run_time(const protocol::JobSpec& spec) const;
+  double wall(Time now) const { return base::between(Time{}, now).count() + wall_offset_; }
   std::vector<std::pair<MemberId, std::vector<MachineRoom>>> parts(Time now) const;
 
   const base::Settings& settings_;
@@ -182,6 +192,9 @@
   std::deque<PoolEntry> pool_;
   std::map<TaskId, Time> offered_;
   std::map<JobId, Failures> failures_;
+  std::set<JobId> guaranteed_;
+  double wall_offset_ = 0;
+  std::map<std::string, double> run_ratio_;  // run times against estimates, by class
   std::map<JobId, Time> preempting_;
 
   std::map<MemberId, Sibling> siblings_;
@@ -194,7 +207,7 @@
   std::map<MachineKind, Time> refused_;
   std::vector<protocol::Booting> booting_;
   std::map<MachineId, Time> unheard_;  // listed, but reporting to nobody, since
-  std::set<MachineId> to_release_;  // what the leader itself found to be of no use
+  std::set<MachineId> to_release_;     // what the leader itself found to be of no use
   struct Arrivals {
     protocol::JobSpec spec;
     std::deque<std::pair<Time, TaskNo>> recent;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Seconds kRefusedFor{12.0};   // a kind that was refused is left alone for this long
+constexpr Seconds kRefusedFor{12.0};  // a kind that was refused is left alone for this long
 constexpr double kFarFromControllers = 1.25;
 constexpr double kInTheWay = 1.05;
 constexpr std::size_t kMostAtOnce = 12;  // machines rented by one plan
@@ -32,7 +32,8 @@
              bool spot) {
   if (spot && !spec.spot) return false;
   if (spec.zone && *spec.zone != zone) return false;
-  return !spec.types || std::find(spec.types->begin(), spec.types->end(), type) != spec.types->end();
+  return !spec.types ||
+         std::find(spec.types->begin(), spec.types->end(), type) != spec.types->end();
 }
 
 FleetPlan plan_fleet(const FleetInput& in) {
@@ -87,7 +88,8 @@
     g.count = d.count;
     g.tier = d.tier;
     g.allowed = [&sites, &d](std::size_t b) {
-      return !d.spec || may_run(*d.spec, sites[b].kind.type, sites[b].kind.zone, sites[b].kind.spot);
+      return !d.spec ||
+             may_run(*d.spec, sites[b].kind.type, sites[b].kind.zone, sites[b].kind.spot);
     };
     g.placed = [&sites](std::size_t b) { sites[b].used = true; };
     groups.push_back(std::move(g));
@@ -115,20 +117,19 @@
           if (cut_off(zone) && !(d.spec && d.spec->zone)) continue;
           const MachineKind k{t.name, zone, spot};
           const auto refused = in.refused.find(k);
-          if (refused != in.refused.end() &&
-              base::between(refused->second, in.now) < kRefusedFor) {
+          if (refused != in.refused.end() && base::between(refused->second, in.now) < kRefusedFor) {
             continue;
           }
           double cost = cost_per_task(t, spot, d, groups[at].count);
           if (cost < 0) continue;
           // Equal prices: spread over the zones, so that no one fault takes all.
-          const auto have = std::count_if(sites.begin(), sites.end(), [&](const Site& s) {
-            return s.kind.zone == zone;
-          });
+          const auto have = std::count_if(sites.begin(), sites.end(),
+                                          [&](const Site& s) { return s.kind.zone == zone; });
           cost *= 1.0 + 1e-4 * static_cast<double>(have);
           // Services go where controllers are, and other work keeps out of the way.
           const bool service = !d.spec || d.spec->kind == protocol::Kind::kService;
-          if (service != in.controller_zones.contains(zone)) cost *= service ? kFarFromControllers : kInTheWay;
+          if (service != in.controller_zones.contains(zone))
+            cost *= service ? kFarFromControllers : kInTheWay;
           if (!best || cost < least) {
             best = &t;
             kind = k;
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -35,10 +35,10 @@
 
 struct FleetInput {
   std::vector<Demand> demand;
-  std::vector<MachineRoom> machines;        // all that report to any controller
-  std::vector<protocol::Booting> booting;   // rented, not heard of yet
+  std::vector<MachineRoom> machines;       // all that report to any controller
+  std::vector<protocol::Booting> booting;  // rented, not heard of yet
   const std::vector<MachineType>* catalogue = nullptr;
-  std::map<MachineKind, Time> refused;      // when the cloud last had none
+  std::map<MachineKind, Time> refused;  // when the cloud last had none
   Seconds idle_return{40};
   double spot_share = 1.0;
   std::set<std::string> controller_zones;
--- a/src/coordination/packing.h
+++ b/src/coordination/packing.h
@@ -15,7 +15,7 @@
 struct Group {
   Resources need;
   std::size_t count = 0;
-  int tier = 0;  // lower ones are packed first
+  int tier = 0;                                  // lower ones are packed first
   std::function<bool(std::size_t bin)> allowed;  // asked anew after each placement
   std::function<void(std::size_t bin)> placed;
 };
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -26,12 +26,58 @@
 }  // namespace
 
 int Controller::tier_of(const Job& job) const {
+  return static_cast<int>(job.record.spec.rank) * 2 +
+         (guaranteed_.contains(job.record.spec.id) ? 0 : 1);
+}
+
+// A job is within its team's guarantee if it fits into it with the team's earlier unfinished jobs.
+void Controller::find_guaranteed() {
+  guaranteed_.clear();
+  std::map<std::string, std::vector<const Job*>> by_team;
+  for (const auto& [id, job] : ledger_.jobs()) {
+    if (!job.record.withdrawn) by_team[job.record.spec.team].push_back(&job);
+  }
+  for (auto& [name, jobs] : by_team) {
+    const auto team = settings_.teams.find(name);
+    if (team == settings_.teams.end() || (team->second.cores <= 0 && team->second.gpus <= 0)) {
+      continue;
+    }
+    std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+      return a->record.submitted != b->record.submitted ? a->record.submitted < b->record.submitted
+                                                        : a->record.spec.id < b->record.spec.id;
+    });
+    Resources left;
+    left.v = {team->second.cores, team->second.gpus, 1e12};
+    for (const Job* job : jobs) {
+      const auto& spec = job->record.spec;
+      const Resources needs = spec.need * static_cast<double>(spec.tasks - job->done);
+      if (!left.fits(needs)) break;
+      left -= needs;
+      guaranteed_.insert(spec.id);
+    }
+  }
+}
+
+Seconds Controller::run_time(const protocol::JobSpec& spec) const {
+  const auto r = run_ratio_.find(spec.job_class);
+  return std::max(Seconds(1.0), spec.estimate * (r == run_ratio_.end() ? 1.0 : r->second));
+}
+
+double Controller::due(const Job& job, Time now) const {
   const auto& spec = job.record.spec;
-  const auto team = settings_.teams.find(spec.team);
-  const bool guaranteed =
-      team != settings_.teams.end() && team->second.cores > 0 &&
-      ledger_.team_use(spec.team).cores() + spec.need.cores() <= team->second.cores + 1e-6;
-  return static_cast<int>(spec.rank) * 2 + (guaranteed ? 0 : 1);
+  if (!spec.deadline) return 1e15 + job.record.submitted;
+  const double least = wall(now) + run_time(spec).count();
+  std::vector<double> times = {1.0};
+  for (const base::Objective& o : settings_.objectives) {
+    if (o.kind == "deadline" && o.job_class == spec.job_class) times.push_back(o.times);
+  }
+  std::sort(times.begin(), times.end());
+  for (const double t : times) {
+    const double at = job.record.submitted + spec.deadline->count() * t;
+    if (at > least) return at;
+  }
+  // Lost: after all that can still be in time, the oldest first.
+  return 1e14 + job.record.submitted;
 }
 
 void Controller::add_offers(const protocol::Offers& offers, Time now) {
@@ -53,8 +99,8 @@
   if (!m.sick && m.errors >= 2 && (m.failed_jobs.size() >= 2 || others_do_well)) {
     m.sick = true;
     m.closed = true;
-    spdlog::warn("machine {} fails its tasks ({} failures of {} jobs): closed", m.last.machine.get(),
-                 m.errors, m.failed_jobs.size());
+    spdlog::warn("machine {} fails its tasks ({} failures of {} jobs): closed",
+                 m.last.machine.get(), m.errors, m.failed_jobs.size());
   }
 }
 
@@ -85,7 +131,8 @@
                                       [&](const auto& r) { return r.attempt == held.attempt; });
           if (t != reported->second.end() && t->state == TaskState::kEnded) {
             const Job* job = ledger_.job(task.job);
-            const bool done = t->cause == Cause::kDone && job && job->record.spec.kind != Kind::kService;
+            const bool done =
+                t->cause == Cause::kDone && job && job->record.spec.kind != Kind::kService;
             ends.push_back({task, machine, protocol::to_string(t->cause), done});
             continue;
           }
@@ -115,6 +162,7 @@
   }
   if (!entitled_since_) entitled_since_ = now;
   housekeeping(now);
+  find_guaranteed();
 
   struct Edit {
     const Job* job;
@@ -139,7 +187,8 @@
       plan.more = true;
       return nullptr;
     }
-    return &edits.emplace(std::pair(id, c), Edit{job, c, job->chunks[c].record, false}).first->second;
+    return &edits.emplace(std::pair(id, c), Edit{job, c, job->chunks[c].record, false})
+                .first->second;
   };
 
   std::vector<RoundPlan::End> ends;
@@ -171,10 +220,10 @@
     for (const auto& [first, count] : p.ranges) {
       for (TaskNo no = first; no - first < count && no < job->record.spec.tasks; ++no) {
         const auto e = edits.find({p.job, no / protocol::kChunk});
-        const bool held = e == edits.end() ? job->holder(no) != nullptr
-                                           : e->second.record.held.contains(no);
-        const bool done = e == edits.end() ? job->is_done(no)
-                                           : e->second.record.done[no % protocol::kChunk];
+        const bool held =
+            e == edits.end() ? job->holder(no) != nullptr : e->second.record.held.contains(no);
+        const bool done =
+            e == edits.end() ? job->is_done(no) : e->second.record.done[no % protocol::kChunk];
         if (!held && !done) w.tasks.push_back(no);
       }
     }
@@ -197,6 +246,26 @@
     at_bin.push_back(&m);
   }
 
+  // When more waits than there is room for, what is due first goes first, job by job; else all of a
+  // rank go by the score alone.
+  std::vector<std::size_t> order(waiting.size());
+  for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
+  Resources wanted, room;
+  for (const Waiting& w : waiting) {
+    wanted += w.job->record.spec.need * static_cast<double>(w.tasks.size());
+  }
+  for (const Bin& b : bins) room += b.free;
+  if (!room.fits(wanted)) {
+    std::vector<std::size_t> by_due = order;
+    std::sort(by_due.begin(), by_due.end(), [&](std::size_t a, std::size_t b) {
+      return due(*waiting[a].job, now) < due(*waiting[b].job, now);
+    });
+    for (std::size_t i = 0; i < by_due.size(); ++i) order[by_due[i]] = i;
+  } else {
+    std::fill(order.begin(), order.end(), 0);
+  }
+  const int jobs = static_cast<int>(waiting.size()) + 1;
+
   std::map<std::string, Resources> planned;  // by team, in this plan
   std::vector<Group> groups;
   for (Waiting& w : waiting) {
@@ -267,7 +336,10 @@
     };
     for (int pass = 0; pass < kPasses; ++pass) {
       Group each = g;
-      each.tier = tier_of(*w.job) * kPasses + pass;
+      each.tier = (tier_of(*w.job) * jobs +
+                   static_cast<int>(order[static_cast<std::size_t>(&w - &waiting[0])])) *
+                      kPasses +
+                  pass;
       each.allowed = [&, pass, preference, allowed = g.allowed](std::size_t b) {
         return preference(*at_bin[b]) == pass && allowed(b);
       };
@@ -427,6 +499,16 @@
     const auto at = machines_.find(end.machine);
     if (at == machines_.end()) continue;
     if (end.done) {
+      // Estimates mislead, often all of a class in the same direction.
+      const auto ran = at->second.ran_before.find(end.task);
+      if (const Job* job = ledger_.job(end.task.job);
+          job && ran != at->second.ran_before.end() && job->record.spec.estimate.count() > 0) {
+        const double ratio =
+            std::clamp(ran->second.count() / job->record.spec.estimate.count(), 0.2, 5.0);
+        auto [r, first] = run_ratio_.try_emplace(job->record.spec.job_class, 1.0);
+        r->second += 0.05 * (ratio - r->second);
+      }
+      at->second.ran_before.erase(end.task);
       at->second.errors = 0;
       at->second.failed_jobs.clear();
       failures_.erase(end.task.job);
@@ -480,10 +562,10 @@
 }
 
 void Controller::housekeeping(Time now) {
-  const Seconds quiet = settings_.tuning.mute_release.count() > 0
-                            ? settings_.tuning.mute_release
-                            : std::max(settings_.report_every * 2.5 + Seconds(2.0),
-                                       settings_.worker_lease * 0.35);
+  const Seconds quiet =
+      settings_.tuning.mute_release.count() > 0
+          ? settings_.tuning.mute_release
+          : std::max(settings_.report_every * 2.5 + Seconds(2.0), settings_.worker_lease * 0.35);
   std::set<MachineId> mute;
   std::size_t owned = machines_.size();
   for (auto& [id, m] : machines_) {
@@ -512,8 +594,9 @@
   // silent at once the network is: they may all be well, and come back.
   // And when the network heals, they don't all come back in the same instant.
   if (mute.size() > std::max<std::size_t>(1, owned / 5)) many_mute_at_ = now;
-  const bool few = !many_mute_at_ || base::between(*many_mute_at_, now) >
-                                         settings_.worker_lease * 0.5 + settings_.report_every * 4.0;
+  const bool few =
+      !many_mute_at_ || base::between(*many_mute_at_, now) >
+                            settings_.worker_lease * 0.5 + settings_.report_every * 4.0;
   std::set<MachineId> next;
   for (const MachineId& id : mute) {
     const auto at = machines_.find(id);
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -87,6 +87,7 @@
   const Seconds patience = settings_.tuning.round_period * 2.0;
   std::erase_if(offered_, [&](const auto& o) { return base::between(o.second, now) > patience; });
 
+  find_guaranteed();
   std::vector<const Job*> jobs;
   for (const auto& [id, job] : ledger_.jobs()) {
     if (job.pending() == 0) continue;
@@ -94,10 +95,12 @@
     if (home && *home == self_) jobs.push_back(&job);
   }
   if (jobs.empty()) return out;
-  // Urgent ones see the free room first; among equals the older job.
+  // Urgent ones see the free room first; among equals what is due first.
   std::stable_sort(jobs.begin(), jobs.end(), [&](const Job* a, const Job* b) {
     const int ta = tier_of(*a), tb = tier_of(*b);
-    return ta != tb ? ta < tb : a->record.submitted < b->record.submitted;
+    if (ta != tb) return ta < tb;
+    const double da = due(*a, now), db = due(*b, now);
+    return da != db ? da < db : a->record.submitted < b->record.submitted;
   });
 
   std::vector<Part> all;
@@ -136,9 +139,8 @@
       // Arrays are split by free room.
       const std::size_t n = std::min(waiting.size(), room);
       for (std::size_t p = 0; p < all.size() && next < n; ++p) {
-        std::size_t share = static_cast<std::size_t>(
-            std::ceil(static_cast<double>(n) * static_cast<double>(room_in[p]) /
-                      static_cast<double>(room)));
+        std::size_t share = static_cast<std::size_t>(std::ceil(
+            static_cast<double>(n) * static_cast<double>(room_in[p]) / static_cast<double>(room)));
         share = std::min({share, room_in[p], n - next});
         if (share == 0) continue;
         offer(p, next, share);
@@ -162,9 +164,9 @@
           };
           const int rank =
               all[p].room_if(spec, [&](const auto& m) { return has(m) && near(m); }) > 0 ? 3
-              : all[p].room_if(spec, has) > 0                                           ? 2
-              : all[p].room_if(spec, near) > 0                                          ? 1
-                                                                                        : 0;
+              : all[p].room_if(spec, has) > 0                                            ? 2
+              : all[p].room_if(spec, near) > 0                                           ? 1
+                                                                                         : 0;
           if (best == all.size() || rank > best_rank ||
               (rank == best_rank && all[p].free_cores() > all[best].free_cores())) {
             best = p;
--- a/src/coordination/view.h
+++ b/src/coordination/view.h
@@ -21,7 +21,9 @@
 
 // The first token of an epoch. Above it there is room for a token for each direct order.
 inline constexpr int kEpochBits = 24;
-inline Token first_token(Epoch epoch) { return Token(epoch.get() << kEpochBits); }
+inline Token first_token(Epoch epoch) {
+  return Token(epoch.get() << kEpochBits);
+}
 
 // The view that the members' keys ask for, or none if the present one is right.
 std::optional<View> wanted_view(const std::map<MemberId, Life>& members,
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -17,21 +17,24 @@
 
 using base::Seconds;
 
-constexpr Seconds kUserCall{1.2};   // users wait 2 s for a status
+constexpr Seconds kUserCall{1.2};  // users wait 2 s for a status
 constexpr Seconds kStateCall{1.5};
 constexpr Seconds kShortPause{0.2};
 constexpr Seconds kLeastGap{0.03};  // between two rounds: what comes in a burst shares one
 constexpr std::size_t kMostOrders = 512;
 
-base::Time now() { return base::SteadyClock::now(); }
+base::Time now() {
+  return base::SteadyClock::now();
+}
 
-void pause(Seconds s) { std::this_thread::sleep_for(s); }
+void pause(Seconds s) {
+  std::this_thread::sleep_for(s);
+}
 
 transport::Reply error(int status, const std::string& reason, int retry_after_s = 0) {
   return {status, protocol::error_body(reason), retry_after_s};
 }
 
-
 }  // namespace
 
 void Node::Bell::ring() {
@@ -69,8 +72,8 @@
 void Node::start() {
   const int most = settings_.tuning.max_connections > 0 ? settings_.tuning.max_connections
                                                         : settings_.sockets * 6 / 10;
-  server_ = std::make_unique<transport::HttpServer>(
-      settings_.listen, most, [this](const Request& r) { return serve(r); });
+  server_ = std::make_unique<transport::HttpServer>(settings_.listen, most,
+                                                    [this](const Request& r) { return serve(r); });
   peer_server_ = std::make_unique<transport::HttpServer>(
       settings_.peer_listen, std::max(16, settings_.sockets / 20),
       [this](const Request& r) { return serve_sibling(r); });
@@ -101,9 +104,9 @@
   }
   if (req.path.compare(0, kSubmissions.size() + 1, kSubmissions + "/") == 0) {
     std::string id = req.path.substr(kSubmissions.size() + 1);
-    const bool is_withdrawal = id.size() > kWithdraw.size() &&
-                               id.compare(id.size() - kWithdraw.size(), std::string::npos,
-                                          kWithdraw) == 0;
+    const bool is_withdrawal =
+        id.size() > kWithdraw.size() &&
+        id.compare(id.size() - kWithdraw.size(), std::string::npos, kWithdraw) == 0;
     if (is_withdrawal) id.resize(id.size() - kWithdraw.size());
     if (!protocol::valid_job_id(id)) return error(404, "no such job");
     if (is_withdrawal) {
@@ -117,11 +120,11 @@
 Node::Reply Node::ready() {
   const Time t = now();
   const bool ok = loaded_ && locked([&](coordination::Controller& c) {
-    if (c.ledger().catalogue().empty()) return false;
-    // In an outage of the state service all are alike, and being passed over would only outlast
-    // it. A node that alone is refused should be passed over.
-    return c.has_lease(t) || (was_ready_ && !c.others_have_state(t));
-  });
+                    if (c.ledger().catalogue().empty()) return false;
+                    // In an outage of the state service all are alike, and being passed over would
+                    // only outlast it. A node that alone is refused should be passed over.
+                    return c.has_lease(t) || (was_ready_ && !c.others_have_state(t));
+                  });
   if (ok) was_ready_ = true;
   return ok ? Reply{200, R"({"ready":true})", 0} : error(503, "not ready", 1);
 }
@@ -134,9 +137,8 @@
     auto r = c.hello(*report, now());
     if (r.status == 200) {
       news = std::any_of(report->tasks.begin(), report->tasks.end(), [](const auto& t) {
-        return std::any_of(t.second.begin(), t.second.end(), [](const auto& a) {
-          return a.state == protocol::TaskState::kEnded;
-        });
+        return std::any_of(t.second.begin(), t.second.end(),
+                           [](const auto& a) { return a.state == protocol::TaskState::kEnded; });
       });
       news = news || report->tasks.empty();
     }
@@ -245,6 +247,7 @@
       controller_.renewed(sent, Version(0));
       spdlog::info("member {} begins life {}", life.member.get(), life.life.get());
     }
+    locked([](auto& c) { c.tell_time(now(), base::wall_seconds()); });
     const Time sent = now();
     const auto renewed = state_.renew_lease(*lease, timeout);
     if (renewed == StateClient::Renewed::kGone) {
@@ -289,8 +292,8 @@
   std::vector<protocol::Item> items;
   base::Revision from;
   bool first = true;
-  for (const std::string& prefix : {protocol::kMembers, protocol::kJobs, protocol::kChunks,
-                                    protocol::kTeams}) {
+  for (const std::string& prefix :
+       {protocol::kMembers, protocol::kJobs, protocol::kChunks, protocol::kTeams}) {
     std::string after;
     for (;;) {
       auto page = state_.list(prefix, after, Seconds(5.0));
@@ -303,8 +306,8 @@
       if (!more) break;
     }
   }
-  for (const std::string& key : {protocol::kViewKey, protocol::kLeadKey, protocol::kCatalogueKey,
-                                 protocol::kFleetKey}) {
+  for (const std::string& key :
+       {protocol::kViewKey, protocol::kLeadKey, protocol::kCatalogueKey, protocol::kFleetKey}) {
     auto got = state_.get(key, Seconds(2.0));
     if (!got.answered) return false;
     if (got.item.version.get() != 0) items.push_back(std::move(got.item));
@@ -525,9 +528,8 @@
   for (;;) {
     fleet_bell_.wait(std::max(gap, Seconds(0.7)));
     const Time t = now();
-    const auto [leads, life] = locked([&](coordination::Controller& c) {
-      return std::pair(c.leads(t), c.self());
-    });
+    const auto [leads, life] =
+        locked([&](coordination::Controller& c) { return std::pair(c.leads(t), c.self()); });
     if (!leads) {
       open.reset();
       continue;
--- a/src/protocol/clients.cpp
+++ b/src/protocol/clients.cpp
@@ -56,7 +56,8 @@
     writes.push_back(std::move(w));
   }
   const Answer a = http_.post(
-      "/commit", Json{{"guards", std::move(guards)}, {"writes", std::move(writes)}}.dump(), timeout);
+      "/commit", Json{{"guards", std::move(guards)}, {"writes", std::move(writes)}}.dump(),
+      timeout);
   Committed c;
   if (a.sent == Sent::kNo) {
     c.outcome = Outcome::kRefused;
@@ -148,10 +149,10 @@
 }
 
 StateClient::Watched StateClient::watch(const std::string& prefix, Revision after, Seconds wait) {
-  const Answer a = watches_.get(
-      "/changes?starts=" + prefix + "&after=" + std::to_string(after.get()) +
-          "&block_ms=" + std::to_string(static_cast<long>(wait.count() * 1000)),
-      wait + Seconds(3.0), kMaxAnswer);
+  const Answer a =
+      watches_.get("/changes?starts=" + prefix + "&after=" + std::to_string(after.get()) +
+                       "&block_ms=" + std::to_string(static_cast<long>(wait.count() * 1000)),
+                   wait + Seconds(3.0), kMaxAnswer);
   Watched w;
   if (a.sent != Sent::kYes) return w;
   if (a.status == 410) {
@@ -211,7 +212,8 @@
   } else if (a.status == 503 && a.body.find("no capacity") != std::string::npos) {
     r.what = Rented::What::kNoCapacity;
   } else if (a.status == 429 || a.status == 503 || a.status == 400) {
-    if (a.status == 400) spdlog::error("the cloud calls a rental malformed: {}", a.body.substr(0, 200));
+    if (a.status == 400)
+      spdlog::error("the cloud calls a rental malformed: {}", a.body.substr(0, 200));
     r.what = Rented::What::kRefused;
   }
   return r;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -82,7 +82,9 @@
   return TaskId{JobId(text.substr(0, slash)), no};
 }
 
-std::string task_text(const TaskId& t) { return t.job.get() + "/" + std::to_string(t.no); }
+std::string task_text(const TaskId& t) {
+  return t.job.get() + "/" + std::to_string(t.no);
+}
 
 }  // namespace
 
--- a/src/protocol/records.cpp
+++ b/src/protocol/records.cpp
@@ -4,8 +4,12 @@
 
 namespace saddleslip::protocol {
 
-std::string job_key(const JobId& id) { return kJobs + id.get(); }
-std::string final_key(const JobId& id) { return kFinals + id.get(); }
+std::string job_key(const JobId& id) {
+  return kJobs + id.get();
+}
+std::string final_key(const JobId& id) {
+  return kFinals + id.get();
+}
 std::string chunk_key(const JobId& id, std::uint32_t chunk) {
   return kChunks + id.get() + "/" + std::to_string(chunk);
 }
@@ -24,8 +28,12 @@
   }
   return kTeams + out;
 }
-std::string row_key(const JobId& id) { return kTeams + "job/" + id.get(); }
-std::string member_key(const MemberId& member) { return kMembers + member.get(); }
+std::string row_key(const JobId& id) {
+  return kTeams + "job/" + id.get();
+}
+std::string member_key(const MemberId& member) {
+  return kMembers + member.get();
+}
 
 std::optional<ChunkName> parse_chunk_key(const std::string& key) {
   const auto slash = key.rfind('/');
@@ -113,14 +121,18 @@
   }
 }
 
-Json final_record(JobStatus status) { return Json{{"f", status == JobStatus::kDone ? "d" : "w"}}; }
+Json final_record(JobStatus status) {
+  return Json{{"f", status == JobStatus::kDone ? "d" : "w"}};
+}
 
 std::optional<JobStatus> parse_final(const Json& value) {
   if (!value.is_object()) return {};
   return value.value("f", "") == "d" ? JobStatus::kDone : JobStatus::kWithdrawn;
 }
 
-Json to_json(const Life& life) { return Json::array({life.member.get(), life.life.get()}); }
+Json to_json(const Life& life) {
+  return Json::array({life.member.get(), life.life.get()});
+}
 
 std::optional<Life> parse_life(const Json& value) {
   if (!value.is_array() || value.size() != 2 || !value[0].is_string() ||
@@ -176,12 +188,13 @@
   Json machines = Json::array();
   for (const MachineRoom& m : s.machines) {
     machines.push_back({m.id.get(), m.type, m.zone, m.spot, m.open, m.free.v, m.lower.v, m.tasks,
-                        m.idle_s, m.images,
-                        m.silent});
+                        m.idle_s, m.images, m.silent});
   }
   Json back = Json::array();
   for (const MachineId& id : s.give_back) back.push_back(id.get());
-  return Json{{"from", to_json(s.from)}, {"state", s.has_state}, {"m", std::move(machines)},
+  return Json{{"from", to_json(s.from)},
+              {"state", s.has_state},
+              {"m", std::move(machines)},
               {"back", std::move(back)}};
 }
 
@@ -217,8 +230,8 @@
 Json to_json(const Offers& offers) {
   Json list = Json::array();
   for (const Offer& o : offers.offers) list.push_back({o.job.get(), o.ranges});
-  return Json{{"from", to_json(offers.from)}, {"epoch", offers.epoch.get()},
-              {"offers", std::move(list)}};
+  return Json{
+      {"from", to_json(offers.from)}, {"epoch", offers.epoch.get()}, {"offers", std::move(list)}};
 }
 
 std::optional<Offers> parse_offers(const Json& body) {
@@ -229,8 +242,8 @@
     offers.from = *from;
     offers.epoch = Epoch(body.at("epoch").get<std::uint64_t>());
     for (const Json& o : body.at("offers")) {
-      offers.offers.push_back(
-          {JobId(o.at(0).get<std::string>()), o.at(1).get<std::vector<std::pair<TaskNo, TaskNo>>>()});
+      offers.offers.push_back({JobId(o.at(0).get<std::string>()),
+                               o.at(1).get<std::vector<std::pair<TaskNo, TaskNo>>>()});
     }
     return offers;
   } catch (const Json::exception&) {
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -4,12 +4,11 @@
 //   s/t/<job>/<chunk>    its tasks' ranges: done, and held by machines (a chunk is kChunk tasks)
 //   s/f/<job>            a job that is over, for good
 //   s/q/<team>           written with each start for a team with a limit: puts the starts in a row
-//   s/q/job/<job>        the same for a job of several chunks whose tasks depend on each other's zones
-//   s/m/<member>         a member's life, under its lease
-//   s/lead               the leader, under its lease
-//   s/view               epoch and members; every commit on tasks guards its version
-//   s/catalogue          the machine types
-//   s/fleet              machines rented and not heard of yet
+//   s/q/job/<job>        the same for a job of several chunks whose tasks depend on each other's
+//   zones s/m/<member>         a member's life, under its lease s/lead               the leader,
+//   under its lease s/view               epoch and members; every commit on tasks guards its
+//   version s/catalogue          the machine types s/fleet              machines rented and not
+//   heard of yet
 #pragma once
 
 #include <map>
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -16,8 +16,8 @@
 bool connect_within(socket_t sock, const sockaddr_in& to, base::Time deadline) {
   if (::connect(sock, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) return true;
   if (errno != EINPROGRESS) return false;
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      deadline - base::SteadyClock::now());
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(deadline - base::SteadyClock::now());
   pollfd p{sock, POLLOUT, 0};
   if (left.count() <= 0 || ::poll(&p, 1, static_cast<int>(left.count()) + 1) <= 0) return false;
   int error = 0;
@@ -118,9 +118,8 @@
   std::unique_ptr<Connection> connection;
   {
     std::unique_lock lock(mutex_);
-    const bool got = freed_.wait_until(lock, deadline, [this] {
-      return !idle_.empty() || open_ < max_;
-    });
+    const bool got =
+        freed_.wait_until(lock, deadline, [this] { return !idle_.empty() || open_ < max_; });
     if (!got) return {};
     if (!idle_.empty()) {
       connection = std::move(idle_.back());
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -37,13 +37,13 @@
 
 class HttpServer::Impl final : public httplib::Server {
  public:
-  Impl(int max_connections, transport::Handler handler) : max_(max_connections), handler_(std::move(handler)) {
+  Impl(int max_connections, transport::Handler handler)
+      : max_(max_connections), handler_(std::move(handler)) {
     set_payload_max_length(kMaxBody);
     set_tcp_nodelay(true);
     new_task_queue = [this] { return new Threads(*this); };
-    set_pre_routing_handler([this](const httplib::Request& req, httplib::Response& res) {
-      return before(req, res);
-    });
+    set_pre_routing_handler(
+        [this](const httplib::Request& req, httplib::Response& res) { return before(req, res); });
     const auto with_body = [this](const httplib::Request& req, httplib::Response& res,
                                   const httplib::ContentReader& read) {
       std::string body;
@@ -65,17 +65,17 @@
       t_close = true;
       fill({res.status == 413 ? 400 : res.status, R"({"error":"malformed request"})", 0}, res);
     });
-    set_exception_handler([](const httplib::Request& req, httplib::Response& res,
-                             std::exception_ptr ep) {
-      try {
-        std::rethrow_exception(ep);
-      } catch (const std::exception& e) {
-        spdlog::error("{} {} failed: {}", req.method, req.path, e.what());
-      } catch (...) {
-        spdlog::error("{} {} failed", req.method, req.path);
-      }
-      fill({500, R"({"error":"internal error"})", 0}, res);
-    });
+    set_exception_handler(
+        [](const httplib::Request& req, httplib::Response& res, std::exception_ptr ep) {
+          try {
+            std::rethrow_exception(ep);
+          } catch (const std::exception& e) {
+            spdlog::error("{} {} failed: {}", req.method, req.path, e.what());
+          } catch (...) {
+            spdlog::error("{} {} failed", req.method, req.path);
+          }
+          fill({500, R"({"error":"internal error"})", 0}, res);
+        });
   }
 
   // cpp-httplib listens with a backlog of 5, which a burst of new connections overruns.
--- a/src/transport/socket_stream.cpp
+++ b/src/transport/socket_stream.cpp
@@ -11,8 +11,8 @@
 
 bool SocketStream::wait(short events) const {
   for (;;) {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        deadline_ - base::SteadyClock::now());
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - base::SteadyClock::now());
     if (left.count() <= 0) return false;
     pollfd p{sock_, events, 0};
     const int n = ::poll(&p, 1, static_cast<int>(std::min<long>(left.count(), 3'600'000)) + 1);
--- a/src/users.cpp
+++ b/src/users.cpp
@@ -19,7 +19,9 @@
   return {status, protocol::error_body(reason), retry_after_s};
 }
 
-Reply try_later(const std::string& reason) { return error(503, reason, 1); }
+Reply try_later(const std::string& reason) {
+  return error(503, reason, 1);
+}
 
 Reply known_final(const JobId& id, protocol::JobStatus status) {
   return {200, protocol::user_status(id, status), 0};
@@ -28,7 +30,8 @@
 }  // namespace
 
 Users::Known Users::look_up(const JobId& id, Time now, Reply& reply) {
-  const auto cached = locked([&](coordination::Controller& c) { return c.ledger().final_state(id); });
+  const auto cached =
+      locked([&](coordination::Controller& c) { return c.ledger().final_state(id); });
   if (cached) {
     reply = known_final(id, *cached);
     return Known::kYes;
@@ -50,10 +53,9 @@
       return job ? std::pair(job->done, job->held) : std::pair(0u, 0u);
     });
     reply = {200,
-             protocol::user_status(id,
-                                   held > 0 ? protocol::JobStatus::kRunning
-                                            : protocol::JobStatus::kQueued,
-                                   done, held),
+             protocol::user_status(
+                 id, held > 0 ? protocol::JobStatus::kRunning : protocol::JobStatus::kQueued, done,
+                 held),
              0};
     return Known::kYes;
   }
--- a/tests/packing_test.cpp
+++ b/tests/packing_test.cpp
@@ -14,7 +14,8 @@
 
 TEST(Packing, ScoresTheScalarProjectionOnFreeRoom) {
   // s = (1/8, 1/4), r = (4/8, 8/32): the dot product over the squared length of r.
-  EXPECT_NEAR(score(r(1, 8), r(4, 8), r(8, 32)), (0.125 * 0.5 + 0.25 * 0.25) / (0.25 + 0.0625), 1e-12);
+  EXPECT_NEAR(score(r(1, 8), r(4, 8), r(8, 32)), (0.125 * 0.5 + 0.25 * 0.25) / (0.25 + 0.0625),
+              1e-12);
   // A resource that no machine has is dropped.
   EXPECT_NEAR(score(r(1, 8), r(4, 8), r(8, 0)), 0.125 * 0.5 / 0.25, 1e-12);
 }
--- a/tests/parse_test.cpp
+++ b/tests/parse_test.cpp
@@ -10,7 +10,9 @@
     R"("breeds":["g8"],"paddock":null,"same_place":true,"apart":false,"strays":true,)"
     R"("ride_s":240.0,"waypoint_s":30.0,"unload_s":4.0,"sundown_s":900.0,"later_field":{}})";
 
-Json good() { return Json::parse(kGood); }
+Json good() {
+  return Json::parse(kGood);
+}
 
 TEST(Submission, ReadsWhatIsWellFormed) {
   const auto s = parse_submission(kGood);
@@ -36,14 +38,34 @@
   for (const char* text : {"", "[]", "3", "{", "null", R"({"name_id":"run-000412"})"}) {
     EXPECT_TRUE(std::holds_alternative<std::string>(parse_submission(text))) << text;
   }
-  const std::vector<std::pair<const char*, Json>> bad = {
-      {"name_id", "job-1"},  {"name_id", "run-"},    {"name_id", "run-00041x"}, {"name_id", 7},
-      {"herd", ""},          {"gait", "troupe"},     {"rank", "high"},          {"strides", 0},
-      {"strides", 100001},   {"strides", 1.5},       {"strides", -1},           {"cores", -1},
-      {"cores", "8"},        {"cores", 1e300},       {"memory_gb", nullptr},    {"gpus", true},
-      {"breeds", "g8"},      {"breeds", {1}},        {"paddock", 3},            {"same_place", 1},
-      {"apart", nullptr},    {"strays", "yes"},      {"ride_s", -1},            {"sundown_s", -5},
-      {"sundown_s", "soon"}, {"image_gb", -0.1},     {"brand", nullptr},        {"unload_s", Json::array()}};
+  const std::vector<std::pair<const char*, Json>> bad = {{"name_id", "job-1"},
+                                                         {"name_id", "run-"},
+                                                         {"name_id", "run-00041x"},
+                                                         {"name_id", 7},
+                                                         {"herd", ""},
+                                                         {"gait", "troupe"},
+                                                         {"rank", "high"},
+                                                         {"strides", 0},
+                                                         {"strides", 100001},
+                                                         {"strides", 1.5},
+                                                         {"strides", -1},
+                                                         {"cores", -1},
+                                                         {"cores", "8"},
+                                                         {"cores", 1e300},
+                                                         {"memory_gb", nullptr},
+                                                         {"gpus", true},
+                                                         {"breeds", "g8"},
+                                                         {"breeds", {1}},
+                                                         {"paddock", 3},
+                                                         {"same_place", 1},
+                                                         {"apart", nullptr},
+                                                         {"strays", "yes"},
+                                                         {"ride_s", -1},
+                                                         {"sundown_s", -5},
+                                                         {"sundown_s", "soon"},
+                                                         {"image_gb", -0.1},
+                                                         {"brand", nullptr},
+                                                         {"unload_s", Json::array()}};
   for (const auto& [field, value] : bad) {
     Json j = good();
     j[field] = value;
@@ -71,8 +93,9 @@
 }
 
 TEST(Report, SurvivesGarbage) {
-  for (const char* text : {"", "{}", "[]", R"({"mount":3})",
-                           R"({"mount":"m","endpoint":"e","breed":"b","paddock":"p","ride":-1,"tally":1})"}) {
+  for (const char* text :
+       {"", "{}", "[]", R"({"mount":3})",
+        R"({"mount":"m","endpoint":"e","breed":"b","paddock":"p","ride":-1,"tally":1})"}) {
     EXPECT_FALSE(parse_report(text)) << text;
   }
   // A state that is not known yet means that the task is there.
@@ -84,7 +107,8 @@
 }
 
 TEST(Siblings, SurviveGarbage) {
-  for (const char* text : {"{}", R"({"from":3})", R"({"from":["a",1],"state":1,"m":{},"back":[]})"}) {
+  for (const char* text :
+       {"{}", R"({"from":3})", R"({"from":["a",1],"state":1,"m":{},"back":[]})"}) {
     EXPECT_FALSE(parse_status(Json::parse(text))) << text;
     EXPECT_FALSE(parse_offers(Json::parse(text))) << text;
   }
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -22,7 +22,8 @@
   std::string out;
   char buffer[4096];
   ssize_t n;
-  while ((n = ::recv(s, buffer, sizeof buffer, 0)) > 0) out.append(buffer, static_cast<std::size_t>(n));
+  while ((n = ::recv(s, buffer, sizeof buffer, 0)) > 0)
+    out.append(buffer, static_cast<std::size_t>(n));
   ::close(s);
   return out;
 }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -16,9 +16,13 @@
 constexpr double kStep = 0.05;
 constexpr double kPull = 0.5;
 
-std::string name(std::size_t n) { return "n" + std::to_string(n); }
+std::string name(std::size_t n) {
+  return "n" + std::to_string(n);
+}
 
-bool active(const std::string& state) { return state != "ended"; }
+bool active(const std::string& state) {
+  return state != "ended";
+}
 
 }  // namespace
 
@@ -169,12 +173,14 @@
       const bool on = std::any_of(attempts.begin(), attempts.end(),
                                   [](const Task& a) { return active(a.state); });
       if (!on || t.job != task.job || !other.alive) continue;
-      if (t == task && id != w.id) broken("ran_twice: " + text + " starts on " + w.id + ", is on " + id);
+      if (t == task && id != w.id)
+        broken("ran_twice: " + text + " starts on " + w.id + ", is on " + id);
       if (t != task) ++zones[other.zone];
     }
   }
   if (!coordination::may_run(spec, w.type, w.zone, w.spot)) broken("wrong_place: " + text);
-  if (spec.one_zone && !zones.empty() && !zones.contains(w.zone)) broken("wrong_place: " + text + " in another zone");
+  if (spec.one_zone && !zones.empty() && !zones.contains(w.zone))
+    broken("wrong_place: " + text + " in another zone");
   if (spec.spread && zones[w.zone] + 1 > static_cast<int>((spec.tasks + 1) / 2)) {
     broken("wrong_place: too many of " + spec.id.get() + " in " + w.zone);
   }
@@ -196,7 +202,8 @@
           if (active(a.state) && other != jobs_.end()) used += other->second.spec.need.cores();
         }
       }
-      if (std::any_of(attempts.begin(), attempts.end(), [](const Task& a) { return active(a.state); })) {
+      if (std::any_of(attempts.begin(), attempts.end(),
+                      [](const Task& a) { return active(a.state); })) {
         t.state = "ended";
         t.cause = "busy";
       } else if (job == jobs_.end()) {
@@ -307,7 +314,8 @@
             a.cause = "error";
           }
           changed = true;
-        } else if (a.state == "running" && t_ >= a.ends && job->second.spec.kind != protocol::Kind::kService) {
+        } else if (a.state == "running" && t_ >= a.ends &&
+                   job->second.spec.kind != protocol::Kind::kService) {
           a.state = "ended";
           a.cause = "done";
           job->second.done.insert(task.no);
@@ -372,7 +380,8 @@
       continue;
     }
     const auto got = get(n, key);
-    if (got.answered && got.item.version.get() != 0) nodes_[n].controller->ledger().apply(got.item, now());
+    if (got.answered && got.item.version.get() != 0)
+      nodes_[n].controller->ledger().apply(got.item, now());
   }
 }
 
@@ -390,7 +399,8 @@
     txn.writes.push_back({protocol::member_key(life.member), to_json(life), node.lease});
     const auto done = apply(txn);
     node.controller->begin_life(life);
-    node.controller->ledger().apply({txn.writes[0].key, *txn.writes[0].value, base::Version(done.revision.get())}, now());
+    node.controller->ledger().apply(
+        {txn.writes[0].key, *txn.writes[0].value, base::Version(done.revision.get())}, now());
   }
   const auto lease = leases_.find(node.lease->get());
   if (lease == leases_.end()) {
@@ -399,6 +409,7 @@
     node.beat_now = true;
     return;
   }
+  node.controller->tell_time(now(), 1000 + t_);
   lease->second.until = t_ + ttl.count();
   node.controller->renewed(now(), get(n, protocol::kViewKey).item.version);
   node.controller->follow(now());
@@ -406,7 +417,8 @@
     const auto done = commit(n, *txn);
     if (done.outcome == Outcome::kDone) {
       for (const auto& w : txn->writes) {
-        node.controller->ledger().apply({w.key, w.value ? *w.value : Json(), base::Version(done.revision.get())}, now());
+        node.controller->ledger().apply(
+            {w.key, w.value ? *w.value : Json(), base::Version(done.revision.get())}, now());
       }
       node.controller->follow(now());
       node.beat_now = true;
@@ -468,7 +480,8 @@
     const auto done = commit(n, *txn);
     if (done.outcome == Outcome::kDone) {
       for (const auto& w : txn->writes) {
-        c.ledger().apply({w.key, w.value ? *w.value : Json(), base::Version(done.revision.get())}, now());
+        c.ledger().apply({w.key, w.value ? *w.value : Json(), base::Version(done.revision.get())},
+                         now());
       }
       node.rung = true;
     }
@@ -483,9 +496,16 @@
   if (c.ledger().catalogue().empty()) {
     Json types = Json::array();
     for (const auto& [type, cores] : {std::pair("small", 4), std::pair("big", 8)}) {
-      types.push_back({{"sku", type}, {"cores", cores}, {"gpus", 0}, {"memory_gb", cores * 4},
-                       {"price", cores * 0.1}, {"market_price", cores * 0.04}, {"ready_s", 5},
-                       {"fetch_gb_per_s", 1}, {"cache_gb", 50}, {"paddocks", {"a", "b"}}});
+      types.push_back({{"sku", type},
+                       {"cores", cores},
+                       {"gpus", 0},
+                       {"memory_gb", cores * 4},
+                       {"price", cores * 0.1},
+                       {"market_price", cores * 0.04},
+                       {"ready_s", 5},
+                       {"fetch_gb_per_s", 1},
+                       {"cache_gb", 50},
+                       {"paddocks", {"a", "b"}}});
     }
     protocol::Transaction txn;
     txn.writes.push_back({protocol::kCatalogueKey, Json{{"breeds", types}}, {}});
@@ -503,7 +523,8 @@
     node.rung = true;
   }
   for (const auto& r : actions.plan.rent) {
-    const std::string hire = name(n) + "-" + std::to_string(c.self().life.get()) + "-" + std::to_string(++node.hires);
+    const std::string hire =
+        name(n) + "-" + std::to_string(c.self().life.get()) + "-" + std::to_string(++node.hires);
     if (hires_.contains(hire)) broken("a rental's name is used twice: " + hire);
     auto& got = hires_[hire];
     for (int i = 0; i < r.count && capacity_[r.kind.type] > 0; ++i) {
@@ -533,7 +554,8 @@
     for (const Change& change : changes_) {
       if (change.revision <= c.ledger().revision().get() || change.at + lag > t_) continue;
       if (c.ledger().apply(change.item, now())) node.rung = true;
-      if (change.item.key == protocol::kViewKey || change.item.key == protocol::kLeadKey) node.beat_now = true;
+      if (change.item.key == protocol::kViewKey || change.item.key == protocol::kLeadKey)
+        node.beat_now = true;
       upto = std::max(upto, change.revision);
     }
     c.ledger().caught_up(base::Revision(upto));
@@ -561,7 +583,8 @@
   if (!nodes_[n].up || !nodes_[n].loaded) return;
   const auto r = nodes_[n].users->submit(j.dump(), now());
   if (r.status == 201 || r.status == 200) job.accepted = true;
-  if ((r.status == 400 || r.status == 422) && job.accepted) broken("forgotten: " + job.spec.id.get());
+  if ((r.status == 400 || r.status == 422) && job.accepted)
+    broken("forgotten: " + job.spec.id.get());
 }
 
 void World::poll() {
@@ -583,13 +606,15 @@
         broken("went_back: " + id.get() + " from " + job.told_final + " to " + status);
       }
       if (status == "done" && job.done.size() < job.spec.tasks) broken("not_done: " + id.get());
-      if (status == "withdrawn" && !job.withdraw_asked) broken("went_back: " + id.get() + " withdrawn by nobody");
+      if (status == "withdrawn" && !job.withdraw_asked)
+        broken("went_back: " + id.get() + " withdrawn by nobody");
       if (status == "done" || status == "withdrawn") job.told_final = status;
     }
   }
   for (std::size_t n = 0; n < nodes_.size(); ++n) {
     if (!nodes_[n].up || !nodes_[n].loaded) continue;
-    if (nodes_[n].users->status(JobId("run-999999"), now()).status == 200) broken("invented: run-999999");
+    if (nodes_[n].users->status(JobId("run-999999"), now()).status == 200)
+      broken("invented: run-999999");
   }
 }
 
@@ -656,7 +681,9 @@
     in >> s;
     return s;
   };
-  const auto index = [](const std::string& n) { return static_cast<std::size_t>(std::stoul(n.substr(1))); };
+  const auto index = [](const std::string& n) {
+    return static_cast<std::size_t>(std::stoul(n.substr(1)));
+  };
   std::map<std::string, std::string> options;
   const auto rest = [&] {
     std::string s;
@@ -665,7 +692,9 @@
       options[s.substr(0, eq)] = eq == std::string::npos ? "1" : s.substr(eq + 1);
     }
   };
-  const auto option = [&](const char* k, double d) { return options.contains(k) ? std::stod(options[k]) : d; };
+  const auto option = [&](const char* k, double d) {
+    return options.contains(k) ? std::stod(options[k]) : d;
+  };
   if (word == "team") {
     const std::string team = arg();
     const std::string least = arg(), most = arg();
@@ -686,8 +715,11 @@
     job.spec.id = JobId(id);
     job.spec.job_class = options.contains("class") ? options["class"] : "c";
     job.spec.team = options.contains("team") ? options["team"] : "t";
-    job.spec.kind = kind == "service" ? protocol::Kind::kService : kind == "gang" ? protocol::Kind::kGang : protocol::Kind::kArray;
-    job.spec.rank = options["rank"] == "critical" ? protocol::Rank::kCritical : protocol::Rank::kStandard;
+    job.spec.kind = kind == "service" ? protocol::Kind::kService
+                    : kind == "gang"  ? protocol::Kind::kGang
+                                      : protocol::Kind::kArray;
+    job.spec.rank =
+        options["rank"] == "critical" ? protocol::Rank::kCritical : protocol::Rank::kStandard;
     job.spec.tasks = static_cast<TaskNo>(option("tasks", 1));
     job.spec.need.v = {option("cores", 1), 0, option("memory", 1)};
     job.spec.image = "img";
@@ -754,29 +786,39 @@
     const std::string what = arg();
     if (what == "done" || what == "withdrawn") {
       const JobSim& job = jobs_.at(JobId(arg()));
-      if (job.told_final != what) broken("expected " + what + ": " + job.spec.id.get() + " is '" + job.told_final + "'");
+      if (job.told_final != what)
+        broken("expected " + what + ": " + job.spec.id.get() + " is '" + job.told_final + "'");
     } else if (what == "running") {
       const JobId id(arg());
       const auto want = std::stoul(arg());
       std::size_t n = 0;
       for (const auto& [m, w] : workers_) {
         for (const auto& [task, attempts] : w.tasks) {
-          for (const Task& a : attempts) n += w.alive && !w.hung && task.job == id && a.state == "running";
+          for (const Task& a : attempts)
+            n += w.alive && !w.hung && task.job == id && a.state == "running";
         }
       }
-      if (n != want) broken("expected " + std::to_string(want) + " running of " + id.get() + ", not " + std::to_string(n));
+      if (n != want)
+        broken("expected " + std::to_string(want) + " running of " + id.get() + ", not " +
+               std::to_string(n));
     } else if (what == "machines") {
       const auto want = std::stoul(arg());
-      if (workers_.size() != want) broken("expected " + std::to_string(want) + " machines, not " + std::to_string(workers_.size()));
+      if (workers_.size() != want)
+        broken("expected " + std::to_string(want) + " machines, not " +
+               std::to_string(workers_.size()));
     } else if (what == "most_starts") {
       const auto want = std::stoul(arg());
-      if (starts_ > want) broken("expected at most " + std::to_string(want) + " starts, not " + std::to_string(starts_));
+      if (starts_ > want)
+        broken("expected at most " + std::to_string(want) + " starts, not " +
+               std::to_string(starts_));
     } else if (what == "submit") {
       const int status = std::stoi(arg());
       std::string body;
       std::getline(in, body);
       const auto r = nodes_[0].users->submit(body, now());
-      if (r.status != status) broken("expected " + std::to_string(status) + ", not " + std::to_string(r.status) + " " + r.body);
+      if (r.status != status)
+        broken("expected " + std::to_string(status) + ", not " + std::to_string(r.status) + " " +
+               r.body);
       if (r.status == 503 && r.retry_after_s == 0) broken("a refusal without Retry-After");
     } else {
       broken("unknown expectation: " + line);
--- a/tests/world.h
+++ b/tests/world.h
@@ -91,7 +91,8 @@
   Time now() const;
 
   // the stand-ins
-  void write(const std::string& key, const Json& value, std::uint64_t lease, std::uint64_t revision);
+  void write(const std::string& key, const Json& value, std::uint64_t lease,
+             std::uint64_t revision);
   protocol::StateClient::Committed commit(std::size_t node, const protocol::Transaction& txn);
   protocol::StateClient::Committed apply(const protocol::Transaction& txn);
   protocol::StateClient::Got get(std::size_t node, const std::string& key);
@@ -130,7 +131,7 @@
   std::vector<Change> changes_;
   std::uint64_t revision_ = 0, next_lease_ = 0;
   bool state_down_ = false;
-  std::set<std::size_t> lose_commit_;    // the next commit of this node is carried out, unanswered
+  std::set<std::size_t> lose_commit_;  // the next commit of this node is carried out, unanswered
   std::map<std::size_t, double> late_commit_;  // ... or carried out this much later
   std::vector<std::pair<double, protocol::Transaction>> late_commits_;
   std::map<std::size_t, double> watch_lag_;
