Rent the room that arrays need to be complete when they are due

Now the demand of arrays is what the work due by each deadline asks for, in whole runs, with learned run times; and a machine's booting counted.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -442,6 +442,42 @@
   }
 }
 
+// How many of each array's waiting tasks need room of their own now, so that all arrays are
+// complete when they are due. Those that may wait for others to end need no machines. In the order
+// in which the jobs are due: the work that is due by then, over the time until then, is the room
+// that all arrays together must have.
+std::map<JobId, std::size_t> Controller::timely_share(Time now, double boot) const {
+  std::vector<const Job*> jobs;
+  for (const auto& [id, job] : ledger_.jobs()) {
+    if (job.record.spec.kind == protocol::Kind::kArray && job.record.spec.deadline &&
+        !job.record.withdrawn && job.done < job.record.spec.tasks) {
+      jobs.push_back(&job);
+    }
+  }
+  std::sort(jobs.begin(), jobs.end(),
+            [&](const Job* a, const Job* b) { return due(*a, now) < due(*b, now); });
+  double work = 0, running = 0, needed = 0;
+  for (const Job* job : jobs) {
+    const auto& spec = job->record.spec;
+    const double each = run_time(spec).count() * 1.2, cores = std::max(0.01, spec.need.cores());
+    const double left = due(*job, now) - wall(now) - boot * 1.5;
+    // Whole runs, one after the other.
+    const double waves = std::clamp(std::floor(left / each), 1.0, 4.0);
+    work += (job->pending() + 0.6 * job->held) * each * cores;
+    running += job->held * cores;
+    needed = std::max(needed, work / (waves * each));
+  }
+  double more = std::max(0.0, needed - running);
+  std::map<JobId, std::size_t> share;
+  for (const Job* job : jobs) {
+    const double cores = std::max(0.01, job->record.spec.need.cores());
+    const double n = std::min(static_cast<double>(job->pending()), std::ceil(more / cores));
+    share[job->record.spec.id] = static_cast<std::size_t>(n);
+    more = std::max(0.0, more - n * cores);
+  }
+  return share;
+}
+
 Controller::FleetActions Controller::plan_fleet(Time now, double wall_now) {
   FleetActions actions;
   if (!leads(now) || !entitled(now) || ledger_.catalogue().empty()) return actions;
@@ -502,6 +538,7 @@
     if (type && wall_now - b.rented < type->boot.count() * 2 + 10) in.booting.push_back(b);
   }
 
+  std::map<JobId, std::size_t> share = timely_share(now, soonest);
   std::map<std::string, Resources> team_room;
   for (const auto& [id, job] : ledger_.jobs()) {
     const auto& spec = job.record.spec;
@@ -524,16 +561,11 @@
       room->second -= spec.need * static_cast<double>(n);
     }
     if (n == 0) continue;
-    // Tasks that can wait for others to end before their deadline need no machines of their own.
-    double waves = 1;
-    if (spec.kind == protocol::Kind::kArray && spec.deadline) {
-      const double left = job.record.submitted + spec.deadline->count() - wall_now;
-      const double each = std::max(1.0, spec.estimate.count() * 1.3);
-      waves = std::clamp(std::floor((left - soonest * 1.3) / each), 1.0, 3.0);
-    }
+    if (spec.kind == protocol::Kind::kArray && spec.deadline) n = std::min(n, share[id]);
+    if (n == 0) continue;
     Demand d;
     d.need = spec.need;
-    d.count = static_cast<std::size_t>(std::ceil(static_cast<double>(n) / waves));
+    d.count = n;
     d.tier = tier_of(job);
     d.spec = &spec;
     in.demand.push_back(d);
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -158,6 +158,7 @@
   void failed(const JobId& job, Machine& m, Time now);
   void housekeeping(Time now);
   void count_arrivals(Time now);
+  std::map<JobId, std::size_t> timely_share(Time now, double boot) const;
   void preempt(const std::vector<std::pair<const Job*, std::size_t>>& waiting, Time now);
   int tier_of(const Job& job) const;
   void find_guaranteed();
