Machines out of their owner's reach are handed over; a leader when all are cut

A member now says in its record whether it reaches others; a machine that knocks here and is silent for its owner is claimed, and the view pins it; a machine well elsewhere is not released. Ruled out: claims by time alone (they also took the machines of a crashed owner).

--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -43,12 +43,18 @@
     put_chunk(item);
   } else if (under(key, protocol::kMembers)) {
     const MemberId member(key.substr(protocol::kMembers.size()));
-    const auto life = protocol::parse_life(item.value);
-    if (life) {
-      members_[member] = *life;
+    if (const auto record = protocol::parse_member(item.value)) {
+      members_[member] = *record;
     } else {
       members_.erase(member);
     }
+  } else if (under(key, protocol::kClaims)) {
+    const MachineId machine(key.substr(protocol::kClaims.size()));
+    if (const auto life = protocol::parse_life(item.value)) {
+      claims_[machine] = *life;
+    } else {
+      claims_.erase(machine);
+    }
   } else if (key == protocol::kViewKey) {
     view_ = protocol::parse_view(item.value);
   } else if (key == protocol::kLeadKey) {
@@ -153,6 +159,7 @@
   view_.reset();
   leader_.reset();
   members_.clear();
+  claims_.clear();
   booting_.clear();
   revision_ = Revision(0);
 }
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -88,7 +88,8 @@
 
   const std::optional<View>& view() const { return view_; }
   const std::optional<Life>& leader() const { return leader_; }
-  const std::map<MemberId, Life>& members() const { return members_; }
+  const std::map<MemberId, protocol::Member>& members() const { return members_; }
+  const std::map<MachineId, Life>& claims() const { return claims_; }
   const std::vector<MachineType>& catalogue() const { return catalogue_; }
   const MachineType* type(const std::string& name) const;
   const std::vector<protocol::Booting>& booting() const { return booting_; }
@@ -110,7 +111,8 @@
   std::deque<JobId> finals_order_;
   std::optional<View> view_;
   std::optional<Life> leader_;
-  std::map<MemberId, Life> members_;
+  std::map<MemberId, protocol::Member> members_;
+  std::map<MachineId, Life> claims_;
   std::vector<MachineType> catalogue_;
   std::vector<protocol::Booting> booting_;
   Revision revision_;
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -12,6 +12,8 @@
 constexpr Seconds kGoneKept{600.0};   // late reports and old lists may still name the machine
 constexpr Seconds kReachable{4.0};    // a sibling not reached for this long counts as cut off
 constexpr Seconds kStatusFresh{5.0};  // a sibling's room is relied on for this long
+constexpr Seconds kBounceMemory{15.0};
+constexpr Seconds kRoomRemembered{60.0};  // of a part that is out of reach, for the fleet
 constexpr Seconds kArrivalWindow{120.0};
 
 }  // namespace
@@ -20,9 +22,10 @@
 
 // --- membership
 
-void Controller::begin_life(Life life) {
+void Controller::begin_life(Life life, Time now) {
   self_ = std::move(life);
   alive_ = true;
+  alive_since_ = now;
   authority_until_ = Time{};
   lease_until_ = Time{};
 }
@@ -54,12 +57,12 @@
 
 bool Controller::owns(const MachineId& machine) const {
   if (!alive_ || !ledger_.view()) return false;
-  const Life* owner = owner_of(*ledger_.view(), machine.get());
+  const Life* owner = owner_of(*ledger_.view(), machine);
   return owner && *owner == self_;
 }
 
 void Controller::follow(Time now) {
-  for (const auto& [id, life] : ledger_.members()) member_since_.try_emplace(id, now);
+  for (const auto& [id, member] : ledger_.members()) member_since_.try_emplace(id, now);
   std::erase_if(member_since_, [&](const auto& m) { return !ledger_.members().contains(m.first); });
   if (leads(now) != led_) {
     led_ = leads(now);
@@ -106,41 +109,47 @@
   if (!alive_ || !has_lease(now)) return {};
   const auto& members = ledger_.members();
   const auto me = members.find(self_.member);
-  if (me == members.end() || me->second != self_) return {};
+  if (me == members.end() || me->second.life != self_) return {};
   std::size_t others = 0, reached = 0;
-  for (const auto& [id, life] : members) {
+  bool others_reach = false;  // does one of them say that it reaches somebody?
+  for (const auto& [id, member] : members) {
     if (id == self_.member) continue;
     ++others;
+    others_reach = others_reach || member.reaches;
     const auto at = reached_.find(id);
     if (at != reached_.end() && base::between(at->second, now) < kReachable) ++reached;
   }
   Transaction txn;
+  if (me->second.reaches != (reached > 0) &&
+      (reached > 0 || base::between(alive_since_, now) > kReachable)) {
+    const std::string key = protocol::member_key(self_.member);
+    txn.guards[key] = ledger_.version(key);
+    txn.writes.push_back({key, to_json(protocol::Member{self_, reached > 0}), lease});
+    return txn;
+  }
   txn.guards[protocol::kLeadKey] = ledger_.version(protocol::kLeadKey);
   const auto& leader = ledger_.leader();
   if (!leader || (leader->member == self_.member && leader->life != self_.life)) {
-    // A node that reaches nobody is the one that is cut off: it must not lead.
-    if (others > 0 && reached == 0) return {};
+    // A node that reaches nobody while others reach each other is the one that is cut off: it must
+    // not lead. Where nobody reaches anybody, any leader is better than none.
+    if (others > 0 && reached == 0 &&
+        (others_reach || base::between(alive_since_, now) < kReachable)) {
+      return {};
+    }
     txn.guards[protocol::member_key(self_.member)] =
         ledger_.version(protocol::member_key(self_.member));
     txn.writes.push_back({protocol::kLeadKey, to_json(self_), lease});
     return txn;
   }
   if (*leader != self_) return {};
-  if (others >= 2 && reached == 0 && base::between(led_since_, now) > kReachable) {
-    bool all_long = true;
-    for (const auto& [id, life] : members) {
-      const auto since = member_since_.find(id);
-      all_long = all_long && since != member_since_.end() &&
-                 base::between(since->second, now) > kReachable;
-    }
-    if (all_long) {
-      spdlog::warn("no other member can be reached: giving up the lead");
-      txn.writes.push_back({protocol::kLeadKey, {}, {}});
-      return txn;
-    }
+  if (others >= 2 && reached == 0 && others_reach &&
+      base::between(std::max(led_since_, alive_since_), now) > kReachable) {
+    spdlog::warn("no other member can be reached: giving up the lead");
+    txn.writes.push_back({protocol::kLeadKey, {}, {}});
+    return txn;
   }
   std::set<MemberId> shun;
-  for (const auto& [id, life] : members) {
+  for (const auto& [id, member] : members) {
     if (id == self_.member || reached == 0) continue;
     const auto at = reached_.find(id);
     const auto since = member_since_.find(id);
@@ -152,10 +161,18 @@
     shunned_ = shun;
     for (const auto& id : shun) spdlog::warn("{} can't be reached: left out of the view", id.get());
   }
-  const auto next = wanted_view(members, ledger_.view(), shunned_);
-  if (!next) return {};
-  txn.guards[protocol::kViewKey] = ledger_.version(protocol::kViewKey);
-  txn.writes.push_back({protocol::kViewKey, to_json(*next), {}});
+  const auto next = wanted_view(members, ledger_.view(), shunned_, ledger_.claims());
+  if (next) {
+    txn.guards[protocol::kViewKey] = ledger_.version(protocol::kViewKey);
+    txn.writes.push_back({protocol::kViewKey, to_json(*next), {}});
+  }
+  for (const auto& [machine, life] : ledger_.claims()) {
+    if (txn.writes.size() + 1 >= settings_.txn_ops) break;
+    const std::string key = protocol::claim_key(machine);
+    txn.guards[key] = ledger_.version(key);
+    txn.writes.push_back({key, {}, {}});
+  }
+  if (txn.writes.empty()) return {};
   return txn;
 }
 
@@ -165,8 +182,14 @@
   if (!ledger_.view() || ledger_.view()->members.empty()) {
     return {503, protocol::error_body("no view yet")};
   }
-  const Life* owner = owner_of(*ledger_.view(), report.machine.get());
-  if (owner->member != self_.member) return {421, protocol::redirect(owner->member)};
+  const Life* owner = owner_of(*ledger_.view(), report.machine);
+  if (owner->member != self_.member) {
+    Bounced& b = bounced_[report.machine];
+    if (b.times == 0 || base::between(b.last, now) > kBounceMemory) b = {now, now, 0};
+    b.last = now;
+    ++b.times;
+    return {421, protocol::redirect(owner->member)};
+  }
   if (!entitled(now)) return {503, protocol::error_body("not entitled to act now")};
   if (gone_.contains(report.machine)) return {503, protocol::error_body("released")};
   observe(report, now, true);
@@ -181,6 +204,47 @@
   return {200, protocol::report_response(m.token, reconcile(m))};
 }
 
+std::optional<Transaction> Controller::claim(Time now) {
+  std::erase_if(bounced_,
+                [&](const auto& b) { return base::between(b.second.last, now) > kBounceMemory; });
+  if (!entitled(now)) {
+    // Nor may their owners answer, most likely: in an outage of the state service all are turned
+    // away everywhere.
+    bounced_.clear();
+    return {};
+  }
+  Transaction txn;
+  txn.guards[protocol::kViewKey] = followed_view_;
+  for (const auto& [id, b] : bounced_) {
+    if (owns(id) || txn.writes.size() >= settings_.txn_ops) continue;
+    const Life* owner = owner_of(*ledger_.view(), id);
+    const Time first = std::max(b.first, followed_at_);
+    const auto s = owner ? siblings_.find(owner->member) : siblings_.end();
+    bool lost = false;
+    if (s != siblings_.end() && s->second.status.from == *owner &&
+        base::between(s->second.heard, now) < Seconds(2.5)) {
+      // The owner itself says whether it hears the machine.
+      const auto& rooms = s->second.status.machines;
+      const auto room = std::find_if(rooms.begin(), rooms.end(),
+                                     [&id = id](const MachineRoom& r) { return r.id == id; });
+      lost = base::between(first, now) > settings_.report_every + Seconds(2.0) &&
+             (room == rooms.end() || room->silent);
+    } else {
+      // An owner that has ended would have left the view by now: this one lives, out of reach.
+      lost = b.times >= 2 && b.last > base::after(first, Seconds(2.0)) &&
+             base::between(first, now) > settings_.tuning.member_ttl + Seconds(1.0);
+    }
+    if (!lost) continue;
+    const std::string key = protocol::claim_key(id);
+    if (ledger_.version(key).get() != 0) continue;
+    txn.guards[key] = Version(0);
+    txn.writes.push_back({key, to_json(self_), {}});
+    spdlog::info("machine {} can't reach its owner: claimed", id.get());
+  }
+  if (txn.writes.empty()) return {};
+  return txn;
+}
+
 void Controller::order_answered(const MachineId& machine, const std::optional<Report>& report,
                                 Time now) {
   if (!report || report->machine != machine || !owns(machine)) return;
@@ -384,6 +448,9 @@
     const auto at = machines_.find(id);
     if (at == machines_.end() || !at->second.give_back) s.give_back.push_back(id);
   }
+  for (const auto& [id, b] : bounced_) {
+    if (base::between(b.last, now) < kBounceMemory) s.knocked.push_back(id);
+  }
   return s;
 }
 
@@ -408,7 +475,8 @@
   });
 }
 
-std::vector<std::pair<MemberId, std::vector<MachineRoom>>> Controller::parts(Time now) const {
+std::vector<std::pair<MemberId, std::vector<MachineRoom>>> Controller::parts(
+    Time now, Seconds remembered) const {
   std::vector<std::pair<MemberId, std::vector<MachineRoom>>> out;
   std::vector<MachineRoom> own;
   for (const auto& [id, m] : machines_) own.push_back(room_of(m, now));
@@ -417,7 +485,7 @@
   for (const Life& member : ledger_.view()->members) {
     const auto s = siblings_.find(member.member);
     if (member == self_ || s == siblings_.end() || s->second.status.from != member ||
-        base::between(s->second.heard, now) > kStatusFresh) {
+        base::between(s->second.heard, now) > remembered) {
       continue;
     }
     out.emplace_back(member.member, s->second.status.machines);
@@ -484,14 +552,20 @@
   count_arrivals(now);
   // What owners ask for now: one that was silent may have come back since it was last asked for.
   std::set<MachineId> release = to_release_;
-  for (const MachineId& id : status(now).give_back) release.insert(id);
+  const MemberStatus own = status(now);
+  for (const MachineId& id : own.give_back) release.insert(id);
+  // A machine that is silent for its owner and reports elsewhere is well: it is the owner that is
+  // out of its reach.
+  std::set<MachineId> well(own.knocked.begin(), own.knocked.end());
   for (const auto& [member, s] : siblings_) {
     if (base::between(s.heard, now) > kStatusFresh || !has_member(*ledger_.view(), s.status.from)) {
       continue;
     }
     release.insert(s.status.give_back.begin(), s.status.give_back.end());
+    well.insert(s.status.knocked.begin(), s.status.knocked.end());
   }
-  std::erase_if(release, [&](const MachineId& id) { return gone_.contains(id); });
+  std::erase_if(release,
+                [&](const MachineId& id) { return gone_.contains(id) || well.contains(id); });
   actions.release.assign(release.begin(), release.end());
 
   FleetInput in;
@@ -503,7 +577,7 @@
   in.spot_share = settings_.tuning.spot_share;
   std::set<MachineId> heard;
   std::map<MachineId, MemberId> owner;
-  const auto known = parts(now);
+  const auto known = parts(now, kRoomRemembered);
   for (const auto& [member, rooms] : known) {
     for (const MachineRoom& r : rooms) {
       heard.insert(r.id);
@@ -621,7 +695,7 @@
                         double wall_now) {
   if (!leads(now)) return;
   std::set<MachineId> heard, listed;
-  for (const auto& [member, rooms] : parts(now)) {
+  for (const auto& [member, rooms] : parts(now, kRoomRemembered)) {
     for (const MachineRoom& r : rooms) heard.insert(r.id);
   }
   for (const auto& b : booting_) heard.insert(b.id);
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -78,7 +78,7 @@
 
   // --- membership
   // A lease was taken: a new life. Until the view names it, nothing may be done.
-  void begin_life(Life life);
+  void begin_life(Life life, Time now);
   const Life& self() const { return self_; }
   // The lease was renewed by a call sent at `sent`, and the store's view then had this version.
   void renewed(Time sent, Version view);
@@ -94,6 +94,8 @@
 
   // --- workers
   WorkerReply hello(const Report& report, Time now);
+  // Claims machines that come back again and again: they reach this node, and not their owner.
+  std::optional<Transaction> claim(Time now);
   void order_answered(const MachineId& machine, const std::optional<Report>& report, Time now);
   void machines_gone(const std::vector<MachineId>& machines, Time now);
   void close_idle(const std::vector<MachineId>& machines);
@@ -167,12 +169,14 @@
   double due(const Job& job, Time now) const;
   Seconds run_time(const protocol::JobSpec& spec) const;
   double wall(Time now) const { return base::between(Time{}, now).count() + wall_offset_; }
-  std::vector<std::pair<MemberId, std::vector<MachineRoom>>> parts(Time now) const;
+  std::vector<std::pair<MemberId, std::vector<MachineRoom>>> parts(Time now,
+                                                                   Seconds remembered) const;
 
   const base::Settings& settings_;
   Ledger ledger_;
   Life self_;
   bool alive_ = false;
+  Time alive_since_{};
   Time lease_until_{};
   Time authority_until_{};
   Version authority_view_;
@@ -183,6 +187,11 @@
   std::optional<Time> many_mute_at_;
 
   std::map<MachineId, Machine> machines_;
+  struct Bounced {
+    Time first{}, last{};
+    int times = 0;
+  };
+  std::map<MachineId, Bounced> bounced_;   // sent to their owners, and back again
   std::map<MachineId, Time> owned_since_;  // for machines never heard: the base of lease proofs
   std::map<MachineId, Session> dead_session_;
   std::map<MachineId, Time> gone_;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -616,7 +616,7 @@
   if (!alive_ || !ledger_.view()) return {};
   for (const auto& [id, job] : ledger_.jobs()) {
     if (!job.record.withdrawn && job.done < job.record.spec.tasks) continue;
-    const Life* home = owner_of(*ledger_.view(), id.get());
+    const Life* home = home_of(*ledger_.view(), id);
     if (!home || *home != self_) continue;
     if (auto txn = finish(job, settings_.txn_ops)) return txn;
   }
@@ -627,7 +627,7 @@
   if (!alive_ || !ledger_.view() || ledger_.orphans().empty()) return {};
   Transaction txn;
   for (const auto& [key, version] : ledger_.orphans()) {
-    const Life* home = owner_of(*ledger_.view(), key);
+    const Life* home = home_of(*ledger_.view(), JobId(key));
     if (!home || *home != self_) continue;
     if (txn.writes.size() >= std::min<std::size_t>(settings_.txn_ops, 8)) break;
     txn.guards[key] = version;
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr Seconds kRoomFresh{4.0};  // a sibling's room is relied on for this long
+
 struct Part {
   MemberId member;
   std::vector<MachineRoom> machines;
@@ -91,7 +93,7 @@
   std::vector<const Job*> jobs;
   for (const auto& [id, job] : ledger_.jobs()) {
     if (job.pending() == 0) continue;
-    const Life* home = owner_of(*ledger_.view(), id.get());
+    const Life* home = home_of(*ledger_.view(), id);
     if (home && *home == self_) jobs.push_back(&job);
   }
   if (jobs.empty()) return out;
@@ -104,7 +106,8 @@
   });
 
   std::vector<Part> all;
-  for (auto& [member, machines] : parts(now)) all.push_back({member, std::move(machines)});
+  for (auto& [member, machines] : parts(now, kRoomFresh))
+    all.push_back({member, std::move(machines)});
   for (const Job* job : jobs) {
     const auto& spec = job->record.spec;
     std::vector<TaskNo> waiting;
--- a/src/coordination/view.cpp
+++ b/src/coordination/view.cpp
@@ -26,9 +26,7 @@
   return h;
 }
 
-}  // namespace
-
-const Life* owner_of(const View& view, const std::string& name) {
+const Life* highest(const View& view, const std::string& name) {
   const Life* best = nullptr;
   std::uint64_t most = 0;
   for (const Life& m : view.members) {
@@ -41,12 +39,42 @@
   return best;
 }
 
-std::optional<View> wanted_view(const std::map<MemberId, Life>& members,
+constexpr std::size_t kMostPins = 200;  // the view must fit one value of the store
+
+}  // namespace
+
+const Life* home_of(const View& view, const JobId& job) {
+  return highest(view, job.get());
+}
+
+const Life* owner_of(const View& view, const MachineId& machine) {
+  if (const auto pin = view.pins.find(machine); pin != view.pins.end()) {
+    for (const Life& m : view.members) {
+      if (m.member == pin->second) return &m;
+    }
+  }
+  return highest(view, machine.get());
+}
+
+std::optional<View> wanted_view(const std::map<MemberId, protocol::Member>& members,
                                 const std::optional<View>& present,
-                                const std::set<MemberId>& shunned) {
+                                const std::set<MemberId>& shunned,
+                                const std::map<MachineId, Life>& claims) {
   View next;
-  for (const auto& [id, life] : members) {
-    if (!shunned.contains(id)) next.members.push_back(life);
+  for (const auto& [id, member] : members) {
+    if (!shunned.contains(id)) next.members.push_back(member.life);
+  }
+  const auto is_member = [&next](const MemberId& id) {
+    return std::any_of(next.members.begin(), next.members.end(),
+                       [&id](const Life& m) { return m.member == id; });
+  };
+  for (const auto& [machine, life] : claims) {
+    if (next.pins.size() < kMostPins && has_member(next, life)) next.pins[machine] = life.member;
+  }
+  if (present) {
+    for (const auto& [machine, member] : present->pins) {
+      if (next.pins.size() < kMostPins && is_member(member)) next.pins.emplace(machine, member);
+    }
   }
   if (next.members.empty()) return {};
   if (present) {
--- a/src/coordination/view.h
+++ b/src/coordination/view.h
@@ -10,6 +10,7 @@
 namespace saddleslip::coordination {
 
 using base::Epoch;
+using base::JobId;
 using base::MachineId;
 using base::MemberId;
 using base::Token;
@@ -17,7 +18,9 @@
 using protocol::View;
 
 // Rendezvous hash: a change of the members moves only the parts of those who came or went.
-const Life* owner_of(const View& view, const std::string& name);
+const Life* home_of(const View& view, const JobId& job);
+// The same for a machine, unless it is pinned to a member that it can reach.
+const Life* owner_of(const View& view, const MachineId& machine);
 
 // The first token of an epoch. Above it there is room for a token for each direct order.
 inline constexpr int kEpochBits = 24;
@@ -26,9 +29,10 @@
 }
 
 // The view that the members' keys ask for, or none if the present one is right.
-std::optional<View> wanted_view(const std::map<MemberId, Life>& members,
+std::optional<View> wanted_view(const std::map<MemberId, protocol::Member>& members,
                                 const std::optional<View>& present,
-                                const std::set<MemberId>& shunned);
+                                const std::set<MemberId>& shunned,
+                                const std::map<MachineId, Life>& claims);
 
 bool has_member(const View& view, const Life& life);
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -233,7 +233,7 @@
       const protocol::Life life{settings_.member, base::Incarnation(lease->get())};
       const std::string key = protocol::member_key(life.member);
       Transaction txn;
-      txn.writes.push_back({key, to_json(life), lease});
+      txn.writes.push_back({key, to_json(protocol::Member{life, false}), lease});
       const auto done = state_.commit(txn, kStateCall);
       if (done.outcome != Outcome::kDone) {
         state_.delete_lease(*lease, timeout);
@@ -242,8 +242,9 @@
       }
       const std::lock_guard lock(mutex_);
       lease_ = lease;
-      controller_.begin_life(life);
-      controller_.ledger().apply({key, to_json(life), Version(done.revision.get())}, now());
+      controller_.begin_life(life, now());
+      controller_.ledger().apply(
+          {key, to_json(protocol::Member{life, false}), Version(done.revision.get())}, now());
       controller_.renewed(sent, Version(0));
       spdlog::info("member {} begins life {}", life.member.get(), life.life.get());
     }
@@ -283,6 +284,9 @@
       }
       if (done.outcome == Outcome::kConflict) refresh(done.failed);
     }
+    if (const auto claim = locked([](auto& c) { return c.claim(now()); })) {
+      commit(*claim, kStateCall);
+    }
     round_bell_.ring();
     beat_bell_.wait(period);
   }
@@ -292,8 +296,8 @@
   std::vector<protocol::Item> items;
   base::Revision from;
   bool first = true;
-  for (const std::string& prefix :
-       {protocol::kMembers, protocol::kJobs, protocol::kChunks, protocol::kTeams}) {
+  for (const std::string& prefix : {protocol::kMembers, protocol::kClaims, protocol::kJobs,
+                                    protocol::kChunks, protocol::kTeams}) {
     std::string after;
     for (;;) {
       auto page = state_.list(prefix, after, Seconds(5.0));
@@ -349,7 +353,8 @@
         if (!c.ledger().apply(e, now())) continue;
         changed = true;
         members = members || e.key == protocol::kViewKey || e.key == protocol::kLeadKey ||
-                  e.key.compare(0, protocol::kMembers.size(), protocol::kMembers) == 0;
+                  e.key.compare(0, protocol::kMembers.size(), protocol::kMembers) == 0 ||
+                  e.key.compare(0, protocol::kClaims.size(), protocol::kClaims) == 0;
       }
       c.ledger().caught_up(w.revision);
       c.follow(now());
--- a/src/protocol/records.cpp
+++ b/src/protocol/records.cpp
@@ -28,6 +28,9 @@
   }
   return kTeams + out;
 }
+std::string claim_key(const MachineId& machine) {
+  return kClaims + machine.get();
+}
 std::string row_key(const JobId& id) {
   return kTeams + "job/" + id.get();
 }
@@ -142,10 +145,23 @@
   return Life{MemberId(value[0].get<std::string>()), Incarnation(value[1].get<std::uint64_t>())};
 }
 
+Json to_json(const Member& member) {
+  return Json{{"life", to_json(member.life)}, {"reaches", member.reaches}};
+}
+
+std::optional<Member> parse_member(const Json& value) {
+  if (!value.is_object() || !value.contains("life")) return {};
+  const auto life = parse_life(value.at("life"));
+  if (!life) return {};
+  return Member{*life, value.contains("reaches") && value.at("reaches") == true};
+}
+
 Json to_json(const View& view) {
   Json members = Json::array();
   for (const Life& m : view.members) members.push_back(to_json(m));
-  return Json{{"epoch", view.epoch.get()}, {"members", std::move(members)}};
+  Json j = {{"epoch", view.epoch.get()}, {"members", std::move(members)}};
+  for (const auto& [machine, member] : view.pins) j["pins"][machine.get()] = member.get();
+  return j;
 }
 
 std::optional<View> parse_view(const Json& value) {
@@ -160,6 +176,12 @@
     if (!life) return {};
     view.members.push_back(*life);
   }
+  if (const auto pins = value.find("pins"); pins != value.end() && pins->is_object()) {
+    for (const auto& [machine, member] : pins->items()) {
+      if (!member.is_string()) return {};
+      view.pins[MachineId(machine)] = MemberId(member.get<std::string>());
+    }
+  }
   return view;
 }
 
@@ -192,10 +214,13 @@
   }
   Json back = Json::array();
   for (const MachineId& id : s.give_back) back.push_back(id.get());
+  Json knocked = Json::array();
+  for (const MachineId& id : s.knocked) knocked.push_back(id.get());
   return Json{{"from", to_json(s.from)},
               {"state", s.has_state},
               {"m", std::move(machines)},
-              {"back", std::move(back)}};
+              {"back", std::move(back)},
+              {"knocked", std::move(knocked)}};
 }
 
 std::optional<MemberStatus> parse_status(const Json& body) {
@@ -221,6 +246,7 @@
       s.machines.push_back(std::move(room));
     }
     for (const Json& id : body.at("back")) s.give_back.emplace_back(id.get<std::string>());
+    for (const Json& id : body.at("knocked")) s.knocked.emplace_back(id.get<std::string>());
     return s;
   } catch (const Json::exception&) {
     return {};
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -4,11 +4,13 @@
 //   s/t/<job>/<chunk>    its tasks' ranges: done, and held by machines (a chunk is kChunk tasks)
 //   s/f/<job>            a job that is over, for good
 //   s/q/<team>           written with each start for a team with a limit: puts the starts in a row
-//   s/q/job/<job>        the same for a job of several chunks whose tasks depend on each other's
-//   zones s/m/<member>         a member's life, under its lease s/lead               the leader,
-//   under its lease s/view               epoch and members; every commit on tasks guards its
-//   version s/catalogue          the machine types s/fleet              machines rented and not
-//   heard of yet
+//   s/q/job/<job>        the same for a job of several chunks whose tasks share or avoid zones
+//   s/m/<member>         a member's life, under its lease
+//   s/lead               the leader, under its lease
+//   s/view               epoch and members; every commit on tasks guards its version
+//   s/p/<machine>        a member claims a machine that can't reach its owner
+//   s/catalogue          the machine types
+//   s/fleet              machines rented and not heard of yet
 #pragma once
 
 #include <map>
@@ -37,12 +39,14 @@
 inline const std::string kFinals = "s/f/";
 inline const std::string kMembers = "s/m/";
 inline const std::string kTeams = "s/q/";
+inline const std::string kClaims = "s/p/";
 
 std::string job_key(const JobId& id);
 std::string final_key(const JobId& id);
 std::string chunk_key(const JobId& id, std::uint32_t chunk);
 std::string team_key(const std::string& team);
 std::string row_key(const JobId& id);
+std::string claim_key(const MachineId& machine);
 std::string member_key(const MemberId& member);
 struct ChunkName {
   JobId job;
@@ -99,12 +103,21 @@
   Incarnation life;
   auto operator<=>(const Life&) const = default;
 };
+// A member's own record: its life, and whether it reaches any other member.
+struct Member {
+  Life life;
+  bool reaches = false;
+};
+Json to_json(const Member& member);
+std::optional<Member> parse_member(const Json& value);
 Json to_json(const Life& life);
 std::optional<Life> parse_life(const Json& value);
 
 struct View {
   Epoch epoch;
   std::vector<Life> members;
+  // Machines that can't reach the member that the hash names, and who has them instead.
+  std::map<MachineId, MemberId> pins;
   bool operator==(const View&) const = default;
 };
 Json to_json(const View& view);
@@ -143,6 +156,7 @@
   bool has_state = false;  // its lease in the store was renewed lately
   std::vector<MachineRoom> machines;
   std::vector<MachineId> give_back;  // machines whose release it asks the leader for
+  std::vector<MachineId> knocked;    // machines of others that lately reported here
 };
 Json to_json(const MemberStatus& status);
 std::optional<MemberStatus> parse_status(const Json& body);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -396,9 +396,9 @@
     node.lease = base::LeaseId(next_lease_);
     const protocol::Life life{base::MemberId(name(n)), base::Incarnation(next_lease_)};
     protocol::Transaction txn;
-    txn.writes.push_back({protocol::member_key(life.member), to_json(life), node.lease});
+    txn.writes.push_back({protocol::member_key(life.member), to_json(protocol::Member{life, false}), node.lease});
     const auto done = apply(txn);
-    node.controller->begin_life(life);
+    node.controller->begin_life(life, now());
     node.controller->ledger().apply(
         {txn.writes[0].key, *txn.writes[0].value, base::Version(done.revision.get())}, now());
   }
@@ -413,6 +413,7 @@
   lease->second.until = t_ + ttl.count();
   node.controller->renewed(now(), get(n, protocol::kViewKey).item.version);
   node.controller->follow(now());
+  if (const auto txn = node.controller->claim(now())) commit(n, *txn);
   if (const auto txn = node.controller->tend_view(now(), *node.lease)) {
     const auto done = commit(n, *txn);
     if (done.outcome == Outcome::kDone) {
