Hurried services take lower work's place where their image is

Where an objective names a wait, a service now displaces the least lost work on a machine with its image (for 1.5 s; then any room will do), and of the fetches takes one that is quick enough first. Preemption as the protocol allows it. Ruled out: late rounds, late orders. Also: more time for whole runs before a deadline.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -302,6 +302,9 @@
       if (t.state == protocol::TaskState::kRunning) {
         const auto before = m.ran.find(task);
         ran[task] = before == m.ran.end() ? now : before->second;
+        if (before == m.ran.end()) {
+          spdlog::debug("{}/{} runs on {}", task.job.get(), task.no, report.machine.get());
+        }
       }
     }
   }
@@ -530,7 +533,7 @@
     const double each = run_time(spec).count() * 1.2, cores = std::max(0.01, spec.need.cores());
     const double left = due(*job, now) - wall(now) - boot * 1.5;
     // Whole runs, one after the other.
-    const double waves = std::clamp(std::floor(left / each), 1.0, 4.0);
+    const double waves = std::clamp(std::floor(left / (each * 1.3)), 1.0, 3.0);
     work += (job->pending() + 0.6 * job->held) * each * cores;
     running += job->held * cores;
     needed = std::max(needed, work / (waves * each));
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -168,6 +168,10 @@
   // the later ones that the objectives name; without any, far off.
   double due(const Job& job, Time now) const;
   Seconds run_time(const protocol::JobSpec& spec) const;
+  // How soon a job of this class should start, if the objectives say.
+  std::optional<Seconds> start_within(const protocol::JobSpec& spec) const;
+  Seconds fetch_time(const Machine& m, const protocol::JobSpec& spec) const;
+  bool displaces_for_image(const Job& job, Time now) const;
   double wall(Time now) const { return base::between(Time{}, now).count() + wall_offset_; }
   std::vector<std::pair<MemberId, std::vector<MachineRoom>>> parts(Time now,
                                                                    Seconds remembered) const;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -19,8 +19,9 @@
 
 constexpr Seconds kAvoidAfterFailure{30.0};
 constexpr Seconds kStopRepeat{2.0};
-constexpr int kPasses = 6;  // image there, under way, missing; each in the better zones first
+constexpr int kPasses = 8;  // image there, under way, quick or slow to fetch; better zones first
 constexpr Seconds kPreemptRepeat{6.0};
+constexpr Seconds kDisplaceFor{1.5};
 constexpr std::size_t kMaxRecordBytes = 48 * 1024;  // a transaction holds 64 KiB in all
 
 }  // namespace
@@ -63,6 +64,44 @@
   return std::max(Seconds(1.0), spec.estimate * (r == run_ratio_.end() ? 1.0 : r->second));
 }
 
+std::optional<Seconds> Controller::start_within(const protocol::JobSpec& spec) const {
+  for (const base::Objective& o : settings_.objectives) {
+    if (o.kind == "wait" && o.job_class == spec.job_class) return Seconds(o.within_s);
+  }
+  return {};
+}
+
+Seconds Controller::fetch_time(const Machine& m, const protocol::JobSpec& spec) const {
+  if (m.has_image(spec.image)) return Seconds(0);
+  const auto* type = ledger_.type(m.last.type);
+  if (!type || type->fetch_gb_per_s <= 0) return Seconds(0);
+  // Images fetched at the same time share the rate.
+  const double sharing = 1.0 + static_cast<double>(m.pulling.size() - m.pulling.count(spec.image));
+  return Seconds(spec.image_gb / type->fetch_gb_per_s * sharing);
+}
+
+// Should the job rather take the place of lower work where its image is than wait for the image
+// elsewhere? For a moment only: what was stopped for it must have ended by then.
+bool Controller::displaces_for_image(const Job& job, Time now) const {
+  const auto& spec = job.record.spec;
+  if (spec.rank > Rank::kUrgent || !start_within(spec)) return false;
+  const auto since = preempting_.find(spec.id);
+  if (since != preempting_.end() && base::between(since->second, now) > kDisplaceFor) return false;
+  for (const auto& [id, m] : machines_) {
+    if (m.closed || !fresh(m, now) || !m.has_image(spec.image) ||
+        !may_run(spec, m.last.type, m.last.zone, m.last.spot)) {
+      continue;
+    }
+    Resources lower, room = free_room(m, &lower);
+    for (const TaskId& t : m.evict) {
+      if (const Job* other = ledger_.job(t.job)) lower += other->record.spec.need;
+    }
+    room += lower;
+    if (room.fits(spec.need)) return true;
+  }
+  return false;
+}
+
 double Controller::due(const Job& job, Time now) const {
   const auto& spec = job.record.spec;
   if (!spec.deadline) return 1e15 + job.record.submitted;
@@ -329,12 +368,18 @@
     // Which machines with room come first. An image that has to be fetched can take longer than
     // all else. And where some zones have no controller, a cut between zones takes all that runs
     // there: services go where controllers are, and other work leaves them the room.
-    const auto preference = [&](const Machine& m) {
-      const int image = m.has_image(spec.image) ? 0 : m.pulling.contains(spec.image) ? 2 : 4;
+    const auto within = start_within(spec);
+    const bool displaces = displaces_for_image(*w.job, now);
+    const auto preference = [&, within](const Machine& m) {
+      const bool quick = !within || fetch_time(m, spec) < *within * 0.75;
+      const int image = m.has_image(spec.image)          ? 0
+                        : m.pulling.contains(spec.image) ? 2
+                        : quick                          ? 4
+                                                         : 6;
       const bool reachable = settings_.controller_zones.contains(m.last.zone);
       return image + (reachable == (spec.kind == Kind::kService) ? 0 : 1);
     };
-    for (int pass = 0; pass < kPasses; ++pass) {
+    for (int pass = 0; pass < (displaces ? kPasses - 2 : kPasses); ++pass) {
       Group each = g;
       each.tier = (tier_of(*w.job) * jobs +
                    static_cast<int>(order[static_cast<std::size_t>(&w - &waiting[0])])) *
@@ -429,12 +474,15 @@
     std::size_t left = count;
     std::map<MachineId, Resources> taken;
     while (left > 0) {
-      // The machine on which the least work is lost.
+      // The machine on which the least work is lost; where the image is, if that makes it start in
+      // time.
+      const bool with_image = displaces_for_image(*job, now);
       Machine* best = nullptr;
       std::vector<TaskId> victims;
       double least = 0;
       for (auto& [id, m] : machines_) {
-        if (m.closed || !fresh(m, now) || !may_run(spec, m.last.type, m.last.zone, m.last.spot)) {
+        if (m.closed || !fresh(m, now) || !may_run(spec, m.last.type, m.last.zone, m.last.spot) ||
+            (with_image && !m.has_image(spec.image))) {
           continue;
         }
         struct Victim {
@@ -528,8 +576,10 @@
     o.session = m.last.session;
     o.commands.push_back({Command::Op::kRun, s.task, s.held.attempt, {}});
     m.idle_since = now;
-    spdlog::debug("{}/{} goes to {} as attempt {}", s.task.job.get(), s.task.no,
-                  s.held.machine.get(), s.held.attempt.get());
+    const Job* job = ledger_.job(s.task.job);
+    spdlog::debug("{}/{} goes to {} as attempt {}{}", s.task.job.get(), s.task.no,
+                  s.held.machine.get(), s.held.attempt.get(),
+                  job && m.has_image(job->record.spec.image) ? "" : ", image to be fetched");
   }
   for (auto& [id, o] : by_machine) {
     Machine& m = machines_.at(id);
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -42,8 +42,11 @@
   }
 
   // Could one task be placed if lower ranks were stopped?
-  bool could_displace(const protocol::JobSpec& spec) const {
+  bool could_displace(const protocol::JobSpec& spec, bool with_image = false) const {
     return std::any_of(machines.begin(), machines.end(), [&](const MachineRoom& m) {
+      if (with_image && std::find(m.images.begin(), m.images.end(), spec.image) == m.images.end()) {
+        return false;
+      }
       Resources r = m.free;
       r += m.lower;
       return m.open && may_run(spec, m.type, m.zone, m.spot) && r.fits(spec.need);
@@ -137,6 +140,7 @@
       }
     };
     std::size_t next = 0;
+    const bool hurries = spec.rank <= protocol::Rank::kUrgent && start_within(spec).has_value();
     if (gang && waiting.size() < job->pending()) continue;
     if (room > 0 && spec.kind != protocol::Kind::kService && !spec.one_zone) {
       // Arrays are split by free room.
@@ -156,7 +160,8 @@
         std::size_t best = all.size();
         int best_rank = 0;
         for (std::size_t p = 0; p < all.size(); ++p) {
-          if (all[p].room_for(spec) == 0) continue;
+          const bool displaces = hurries && all[p].could_displace(spec, true);
+          if (all[p].room_for(spec) == 0 && !displaces) continue;
           // A part where the image is already beats a roomier one where it must be fetched, and
           // so does one with room where controllers are.
           const auto has = [&](const MachineRoom& m) {
@@ -166,8 +171,9 @@
             return settings_.controller_zones.contains(m.zone);
           };
           const int rank =
-              all[p].room_if(spec, [&](const auto& m) { return has(m) && near(m); }) > 0 ? 3
-              : all[p].room_if(spec, has) > 0                                            ? 2
+              all[p].room_if(spec, [&](const auto& m) { return has(m) && near(m); }) > 0 ? 4
+              : all[p].room_if(spec, has) > 0                                            ? 3
+              : displaces                                                                ? 2
               : all[p].room_if(spec, near) > 0                                           ? 1
                                                                                          : 0;
           if (best == all.size() || rank > best_rank ||
@@ -177,10 +183,15 @@
           }
         }
         if (best == all.size()) break;
-        const std::size_t n =
-            spec.one_zone ? std::min(waiting.size() - next, all[best].room_for(spec)) : 1;
+        const std::size_t n = spec.one_zone ? std::clamp<std::size_t>(all[best].room_for(spec), 1,
+                                                                      waiting.size() - next)
+                                            : 1;
         offer(best, next, n);
-        all[best].take(spec, n);
+        if (all[best].room_for(spec) > 0) {
+          all[best].take(spec, n);
+        } else {
+          all[best].displace(spec);
+        }
         next += n;
       }
     }
--- a/src/users.cpp
+++ b/src/users.cpp
@@ -109,6 +109,7 @@
                          now);
       });
       store_.changed();
+      spdlog::debug("{} accepted", spec.id.get());
       return {201, protocol::user_status(spec.id, protocol::JobStatus::kQueued), 0};
     case Outcome::kRefused:
       return try_later("the state service is over its limit or out of service");
