--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -31,6 +31,7 @@
   Token token;             // for the next answer or order
   Token floor;             // what the worker must have shown for "fenced"
   bool closed = false;     // takes no new tasks
+  bool draining = false;   // its services are being moved elsewhere
   bool give_back = false;  // its release was asked for
   std::set<TaskId> evict;  // tasks to be stopped, though their jobs live on
   // Images that it has, as far as its tasks have shown, the latest used last; and those under way.
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -13,6 +13,8 @@
 constexpr Seconds kReachable{4.0};    // a sibling not reached for this long counts as cut off
 constexpr Seconds kStatusFresh{5.0};  // a sibling's room is relied on for this long
 constexpr Seconds kBounceMemory{15.0};
+constexpr Seconds kCalm{10.0};     // without a wait for room, before services are moved together
+constexpr Seconds kDrainGap{3.0};  // between two machines to be emptied
 constexpr Seconds kRoomRemembered{60.0};  // of a part that is out of reach, for the fleet
 constexpr Seconds kArrivalWindow{120.0};
 
@@ -386,6 +388,16 @@
   }
 }
 
+void Controller::drain(const std::vector<MachineId>& machines) {
+  for (const MachineId& id : machines) {
+    const auto at = machines_.find(id);
+    if (at == machines_.end() || at->second.closed) continue;
+    at->second.closed = true;
+    at->second.draining = true;
+    spdlog::info("machine {} is half empty: its services move elsewhere", id.get());
+  }
+}
+
 // --- siblings
 
 bool Controller::fresh(const Machine& m, Time now) const {
@@ -468,6 +480,9 @@
     auto& close = to_close_[status.from.member];
     out.close.assign(close.begin(), close.end());
     close.clear();
+    auto& drain = to_drain_[status.from.member];
+    out.drain.assign(drain.begin(), drain.end());
+    drain.clear();
   }
   return out;
 }
@@ -615,6 +630,7 @@
     if (type && wall_now - b.rented < type->boot.count() * 2 + 10) in.booting.push_back(b);
   }
 
+  bool waiting = false;
   std::map<JobId, std::size_t> share = timely_share(now, soonest);
   std::map<std::string, Resources> team_room;
   for (const auto& [id, job] : ledger_.jobs()) {
@@ -646,6 +662,7 @@
     d.tier = tier_of(job);
     d.spec = &spec;
     in.demand.push_back(d);
+    waiting = true;
   }
   for (const auto& [name, a] : arrivals_) {
     double tasks = 0;
@@ -663,7 +680,30 @@
     d.spec = &a.spec;
     if (d.count > 0) in.demand.push_back(d);
   }
+  if (waiting) restless_at_ = now;
+  in.calm = base::between(std::max(restless_at_, led_since_), now) > kCalm &&
+            base::between(drained_at_, now) > kDrainGap;
+  if (in.calm) {
+    for (const auto& [machine, tasks] : ledger_.held()) {
+      for (const auto& [task, held] : tasks) {
+        const Job* job = ledger_.job(task.job);
+        if (job && job->record.spec.kind == protocol::Kind::kService && !job->record.withdrawn) {
+          in.movable[machine].push_back(&job->record.spec);
+        }
+      }
+    }
+  }
   actions.plan = coordination::plan_fleet(in);
+  if (!actions.plan.rent.empty()) restless_at_ = now;
+  if (actions.plan.drain) {
+    drained_at_ = now;
+    const MachineId& id = *actions.plan.drain;
+    if (owner[id] == self_.member) {
+      drain({id});
+    } else {
+      to_drain_[owner[id]].insert(id);
+    }
+  }
   for (const MachineId& id : actions.plan.close) {
     if (owner[id] == self_.member) {
       close_idle({id});
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -67,6 +67,7 @@
 struct Instructions {
   std::vector<MachineId> gone;   // released: they and all on them are gone
   std::vector<MachineId> close;  // to be closed and given back if nothing is on them
+  std::vector<MachineId> drain;  // to be emptied by moving services, then given back
 };
 
 class Controller {
@@ -99,6 +100,7 @@
   void order_answered(const MachineId& machine, const std::optional<Report>& report, Time now);
   void machines_gone(const std::vector<MachineId>& machines, Time now);
   void close_idle(const std::vector<MachineId>& machines);
+  void drain(const std::vector<MachineId>& machines);
 
   void tell_time(Time now, double wall_now) {
     wall_offset_ = wall_now - base::between(Time{}, now).count();
@@ -228,7 +230,9 @@
   };
   std::map<std::string, Arrivals> arrivals_;  // of services, by class
   std::set<JobId> counted_;
-  std::map<MemberId, std::set<MachineId>> to_close_;
+  std::map<MemberId, std::set<MachineId>> to_close_, to_drain_;
+  Time restless_at_{};  // something waited for room, or was rented
+  Time drained_at_{};
 };
 
 }  // namespace saddleslip::coordination
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Seconds kRefusedFor{12.0};  // a kind that was refused is left alone for this long
+constexpr double kDrainBelow = 0.55;  // a machine that is busier than this is not emptied
 constexpr double kFarFromControllers = 1.25;
 constexpr double kInTheWay = 1.05;
 constexpr std::size_t kMostAtOnce = 12;  // machines rented by one plan
@@ -166,6 +167,43 @@
   }
   for (const auto& [kind, n] : rent) plan.rent.push_back({kind, n});
 
+  if (in.calm && plan.rent.empty()) {
+    double most = 0;
+    for (std::size_t b = 0; b < sites.size(); ++b) {
+      const MachineRoom* m = sites[b].machine;
+      const MachineType* type = m ? type_of(m->type) : nullptr;
+      if (!type || m->spot || m->tasks == 0) continue;
+      const auto movable = in.movable.find(m->id);
+      if (movable == in.movable.end() || movable->second.empty()) continue;
+      const double busy = type->size.cores() - m->free.cores();
+      if (busy > type->size.cores() * kDrainBelow) continue;
+      // Room that is left after all that waits or is expected, on machines that stay anyway.
+      std::vector<Bin> left = bins;
+      bool all = true;
+      for (const protocol::JobSpec* spec : movable->second) {
+        std::size_t to = sites.size();
+        for (std::size_t o = 0; o < sites.size() && to == sites.size(); ++o) {
+          const MachineRoom* other = sites[o].machine;
+          if (o == b || !other || other->tasks == 0 || !left[o].free.fits(spec->need) ||
+              !may_run(*spec, other->type, other->zone, other->spot) ||
+              std::find(other->images.begin(), other->images.end(), spec->image) ==
+                  other->images.end()) {
+            continue;
+          }
+          to = o;
+        }
+        all = all && to < sites.size();
+        if (!all) break;
+        left[to].free -= spec->need;
+      }
+      const double gain = type->price / static_cast<double>(movable->second.size());
+      if (all && gain > most) {
+        most = gain;
+        plan.drain = m->id;
+      }
+    }
+  }
+
   for (const Site& s : sites) {
     if (s.machine && !s.used && s.machine->tasks == 0 &&
         Seconds(s.machine->idle_s) >= in.idle_return) {
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -39,6 +40,9 @@
   std::vector<protocol::Booting> booting;  // rented, not heard of yet
   const std::vector<MachineType>* catalogue = nullptr;
   std::map<MachineKind, Time> refused;  // when the cloud last had none
+  // Services on each machine that runs nothing else but arrays, which end by themselves.
+  std::map<MachineId, std::vector<const protocol::JobSpec*>> movable;
+  bool calm = false;  // nothing had to be rented, or waited, for a while
   Seconds idle_return{40};
   double spot_share = 1.0;
   std::set<std::string> controller_zones;
@@ -52,6 +56,8 @@
 
 struct FleetPlan {
   std::vector<Rent> rent;
+  // A machine whose services fit elsewhere, where their images are: to be emptied.
+  std::optional<MachineId> drain;
   std::vector<MachineId> close;  // idle and not needed: to be closed by their owners, then released
 };
 
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -22,6 +22,7 @@
 constexpr int kPasses = 8;  // image there, under way, quick or slow to fetch; better zones first
 constexpr Seconds kPreemptRepeat{6.0};
 constexpr Seconds kDisplaceFor{1.5};
+constexpr Seconds kSettled{35.0};                   // a start that is undone sooner was none
 constexpr std::size_t kMaxRecordBytes = 48 * 1024;  // a transaction holds 64 KiB in all
 
 }  // namespace
@@ -624,6 +625,22 @@
       for (const auto& t : attempts) active = active || t.state != TaskState::kEnded;
     }
     m.give_back = m.closed && !active;
+    if (m.draining && fresh(m, now)) {
+      // One service at a time, and none that a user would still count as just started.
+      const bool moving = std::any_of(m.evict.begin(), m.evict.end(), [&](const TaskId& t) {
+        return ledger_.held_by(id).contains(t);
+      });
+      for (const auto& [task, since] : m.ran) {
+        const Job* job = ledger_.job(task.job);
+        if (moving || !job || job->record.spec.kind != Kind::kService || m.evict.contains(task) ||
+            base::between(since, now) < kSettled) {
+          continue;
+        }
+        spdlog::info("{}/{} moves away from {}", task.job.get(), task.no, id.get());
+        m.evict.insert(task);
+        break;
+      }
+    }
     const bool overdue = m.taken_at && now > *m.taken_at;
     // While this node might not answer, workers went from node to node: that is no silence.
     const Time heard = std::max(m.heard, *entitled_since_);
@@ -636,7 +653,8 @@
     ++owned;
     const Time since = owned_since_.try_emplace(id, now).first->second;
     // Workers whose node is gone need a while to find their new one.
-    if (base::between(std::max(since, *entitled_since_), now) > quiet + Seconds(6.0)) {
+    if (base::between(std::max(since, *entitled_since_), now) >
+        std::max(quiet, settings_.report_every + Seconds(6.0))) {
       mute.insert(id);
     }
   }
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -167,10 +167,14 @@
     return c.heard_status(*status, now());
   });
   if (!offers.empty()) round_bell_.ring();
-  Json gone = Json::array(), close = Json::array();
+  Json gone = Json::array(), close = Json::array(), drain = Json::array();
   for (const auto& id : said.gone) gone.push_back(id.get());
   for (const auto& id : said.close) close.push_back(id.get());
-  return {200, Json{{"gone", std::move(gone)}, {"close", std::move(close)}}.dump(), 0};
+  for (const auto& id : said.drain) drain.push_back(id.get());
+  return {200,
+          Json{{"gone", std::move(gone)}, {"close", std::move(close)}, {"drain", std::move(drain)}}
+              .dump(),
+          0};
 }
 
 void Node::tell_sibling(Sibling& sibling) {
@@ -207,6 +211,7 @@
       c.sibling_reached(sibling.id, now());
       c.machines_gone(gone, now());
       c.close_idle(ids("close"));
+      c.drain(ids("drain"));
     });
     if (!gone.empty()) round_bell_.ring();
   }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -571,6 +571,7 @@
       c.sibling_reached(base::MemberId(name(m)), now());
       c.machines_gone(said.gone, now());
       c.close_idle(said.close);
+      c.drain(said.drain);
     }
   }
   if (t_ >= node.next_round || node.rung) round(n);
