--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -12,6 +12,7 @@
 constexpr Seconds kGoneKept{600.0};   // late reports and old lists may still name the machine
 constexpr Seconds kReachable{4.0};    // a sibling not reached for this long counts as cut off
 constexpr Seconds kStatusFresh{5.0};  // a sibling's room is relied on for this long
+constexpr Seconds kRefusedFor{8.0};   // a kind that was refused is left alone, doubling to 64 s
 constexpr Seconds kBounceMemory{15.0};
 constexpr Seconds kCalm{10.0};     // without a wait for room, before services are moved together
 constexpr Seconds kDrainGap{3.0};  // between two machines to be emptied
@@ -730,10 +731,17 @@
   return actions;
 }
 
+void Controller::refused(const MachineKind& kind, Time now) {
+  // Each call to the cloud is one less for what it does have, and for releases.
+  const int n = std::min(refusals_[kind]++, 3);
+  refused_[kind] = base::after(now, kRefusedFor * static_cast<double>(1 << n));
+}
+
 void Controller::rented(const MachineKind& kind, const std::vector<MachineId>& machines,
                         double wall_now) {
   for (const MachineId& id : machines) {
     booting_.push_back({id, kind.type, kind.zone, kind.spot, wall_now});
+    refusals_.erase(kind);
     zones_[id] = kind.zone;
   }
 }
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -132,7 +132,7 @@
   };
   FleetActions plan_fleet(Time now, double wall_now);
   void listed(const std::vector<protocol::CloudMachine>& machines, Time now, double wall_now);
-  void refused(const MachineKind& kind, Time now) { refused_[kind] = now; }
+  void refused(const MachineKind& kind, Time now);
   void rented(const MachineKind& kind, const std::vector<MachineId>& machines, double wall_now);
   std::optional<Transaction> fleet_record() const;
   void released(const std::vector<MachineId>& machines, Time now);
@@ -220,7 +220,8 @@
   Time led_since_{};
   bool led_ = false;
 
-  std::map<MachineKind, Time> refused_;
+  std::map<MachineKind, Time> refused_;  // not to be asked for before then
+  std::map<MachineKind, int> refusals_;  // in a row
   std::vector<protocol::Booting> booting_;
   std::map<MachineId, Time> unheard_;  // listed, but reporting to nobody, since
   std::set<MachineId> to_release_;     // what the leader itself found to be of no use
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr Seconds kRefusedFor{12.0};  // a kind that was refused is left alone for this long
 constexpr double kDrainBelow = 0.55;  // a machine that is busier than this is not emptied
 constexpr double kFarFromControllers = 1.25;
 constexpr double kInTheWay = 1.05;
@@ -118,7 +117,7 @@
           if (cut_off(zone) && !(d.spec && d.spec->zone)) continue;
           const MachineKind k{t.name, zone, spot};
           const auto refused = in.refused.find(k);
-          if (refused != in.refused.end() && base::between(refused->second, in.now) < kRefusedFor) {
+          if (refused != in.refused.end() && in.now < refused->second) {
             continue;
           }
           double cost = cost_per_task(t, spot, d, groups[at].count);
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -39,7 +39,7 @@
   std::vector<MachineRoom> machines;       // all that report to any controller
   std::vector<protocol::Booting> booting;  // rented, not heard of yet
   const std::vector<MachineType>* catalogue = nullptr;
-  std::map<MachineKind, Time> refused;  // when the cloud last had none
+  std::map<MachineKind, Time> refused;  // the cloud had none; not asked again before this
   // Services on each machine that runs nothing else but arrays, which end by themselves.
   std::map<MachineId, std::vector<const protocol::JobSpec*>> movable;
   bool calm = false;  // nothing had to be rented, or waited, for a while
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -458,15 +458,19 @@
     const auto& spec = job->record.spec;
     const bool guaranteed = tier_of(*job) % 2 == 0;
     if ((spec.rank > Rank::kUrgent && !guaranteed) || preempting_.contains(spec.id)) continue;
+    // At its team's limit only the team's own lower work can give way.
+    double over = 0;
     if (ledger_.limited(spec.team)) {
       const base::Team& team = settings_.teams.at(spec.team);
       Resources use = ledger_.team_use(spec.team);
       use += spec.need;
-      if (team.cores_max > 0 && use.cores() > team.cores_max + 1e-6) continue;
+      if (team.cores_max > 0) over = std::max(0.0, use.cores() - team.cores_max);
     }
     const auto may_stop = [&](const Job& other) {
       const auto& o = other.record.spec;
+      if (over > 1e-6 && o.team != spec.team) return false;
       if (o.rank > spec.rank) return true;
+      if (over > 1e-6) return false;
       const auto team = settings_.teams.find(o.team);
       return guaranteed && o.team != spec.team && team != settings_.teams.end() &&
              ledger_.team_use(o.team).cores() > team->second.cores + 1e-6 &&
@@ -508,15 +512,16 @@
           if (const Job* other = ledger_.job(t.job)) room += other->record.spec.need;
         }
         room -= taken[id];
-        double lost = 0;
+        double lost = 0, excess = over;
         std::vector<TaskId> chosen;
         for (const Victim& v : candidates) {
-          if (room.fits(spec.need)) break;
+          if (room.fits(spec.need) && excess < 1e-6) break;
+          excess -= v.need.cores();
           room += v.need;
           lost += v.lost * v.need.cores();
           chosen.push_back(v.task);
         }
-        if (!room.fits(spec.need)) continue;
+        if (!room.fits(spec.need) || excess > 1e-6) continue;
         if (!best || lost < least) {
           best = &m;
           least = lost;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -591,7 +591,10 @@
     }
     bool rented = false;
     const bool was_open = open.has_value();
+    int calls = 0;
     for (const Hire& h : hires) {
+      // Releases are proofs that tasks wait for: they come first, in the next turn.
+      if (++calls > 3) break;
       if (!locked([](auto& c) { return c.leads(now()); })) break;
       const auto r = cloud_.rent(h.name, h.kind.type, h.kind.zone, h.kind.spot, h.count);
       using What = protocol::CloudClient::Rented::What;
