Owners move a service only where room and image are seen now

The owner looks again before each move. And what a part did not place is offered again after 1.2 rounds instead of 2.

--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -22,6 +22,7 @@
 constexpr int kPasses = 8;  // image there, under way, quick or slow to fetch; better zones first
 constexpr Seconds kPreemptRepeat{6.0};
 constexpr Seconds kDisplaceFor{1.5};
+constexpr Seconds kRoomToMove{1.5};
 constexpr Seconds kSettled{35.0};                   // a start that is undone sooner was none
 constexpr std::size_t kMaxRecordBytes = 48 * 1024;  // a transaction holds 64 KiB in all
 
@@ -631,6 +632,7 @@
     }
     m.give_back = m.closed && !active;
     if (m.draining && fresh(m, now)) {
+      const auto known = parts(now, kRoomToMove);
       // One service at a time, and none that a user would still count as just started.
       const bool moving = std::any_of(m.evict.begin(), m.evict.end(), [&](const TaskId& t) {
         return ledger_.held_by(id).contains(t);
@@ -641,6 +643,19 @@
             base::between(since, now) < kSettled) {
           continue;
         }
+        // The leader's view of room is a second old: look again, or the service would wait for an
+        // image, or for room.
+        const auto& spec = job->record.spec;
+        const auto takes = [&](const MachineRoom& r) {
+          return r.open && r.id != id && r.tasks > 0 && r.free.fits(spec.need) &&
+                 may_run(spec, r.type, r.zone, r.spot) &&
+                 std::find(r.images.begin(), r.images.end(), spec.image) != r.images.end();
+        };
+        if (std::none_of(known.begin(), known.end(), [&](const auto& part) {
+              return std::any_of(part.second.begin(), part.second.end(), takes);
+            })) {
+          continue;
+        }
         spdlog::info("{}/{} moves away from {}", task.job.get(), task.no, id.get());
         m.evict.insert(task);
         break;
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -89,7 +89,7 @@
 std::map<MemberId, protocol::Offers> Controller::route(Time now) {
   std::map<MemberId, protocol::Offers> out;
   if (!entitled(now)) return out;
-  const Seconds patience = settings_.tuning.round_period * 2.0;
+  const Seconds patience = settings_.tuning.round_period * 1.2;
   std::erase_if(offered_, [&](const auto& o) { return base::between(o.second, now) > patience; });
 
   find_guaranteed();
