--- a/src/node.cpp
+++ b/src/node.cpp
@@ -22,6 +22,7 @@
 constexpr Seconds kShortPause{0.2};
 constexpr Seconds kLeastGap{0.03};  // between two rounds: what comes in a burst shares one
 constexpr std::size_t kMostOrders = 512;
+constexpr std::size_t kMaxSiblingBody = 2u << 20;  // a status lists all machines of a part
 
 base::Time now() {
   return base::SteadyClock::now();
@@ -76,7 +77,7 @@
                                                     [this](const Request& r) { return serve(r); });
   peer_server_ = std::make_unique<transport::HttpServer>(
       settings_.peer_listen, std::max(16, settings_.sockets / 20),
-      [this](const Request& r) { return serve_sibling(r); });
+      [this](const Request& r) { return serve_sibling(r); }, kMaxSiblingBody);
   threads_.emplace_back([this] { watch(); });
   threads_.emplace_back([this] { beat(); });
   threads_.emplace_back([this] { rounds(); });
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -18,7 +18,7 @@
 
 constexpr base::Seconds kIdle{75.0};     // an idle connection is closed after this
 constexpr base::Seconds kMessage{10.0};  // a request that has begun must be complete by then
-constexpr std::size_t kMaxBody = 64 * 1024;
+
 constexpr std::size_t kMaxPath = 512;
 
 // Set while a connection over the limit is handed over: it is closed at once.
@@ -37,9 +37,9 @@
 
 class HttpServer::Impl final : public httplib::Server {
  public:
-  Impl(int max_connections, transport::Handler handler)
-      : max_(max_connections), handler_(std::move(handler)) {
-    set_payload_max_length(kMaxBody);
+  Impl(int max_connections, transport::Handler handler, std::size_t max_body)
+      : max_(max_connections), max_body_(max_body), handler_(std::move(handler)) {
+    set_payload_max_length(max_body_);
     set_tcp_nodelay(true);
     new_task_queue = [this] { return new Threads(*this); };
     set_pre_routing_handler(
@@ -47,9 +47,9 @@
     const auto with_body = [this](const httplib::Request& req, httplib::Response& res,
                                   const httplib::ContentReader& read) {
       std::string body;
-      const bool complete = read([&body](const char* data, size_t n) {
+      const bool complete = read([&body, this](const char* data, size_t n) {
         body.append(data, n);
-        return body.size() <= kMaxBody;
+        return body.size() <= max_body_;
       });
       if (!complete) {
         t_close = true;
@@ -179,6 +179,7 @@
   }
 
   const int max_;
+  const std::size_t max_body_;
   transport::Handler handler_;
   std::mutex mutex_;
   std::condition_variable none_;
@@ -186,8 +187,9 @@
   int live_ = 0;
 };
 
-HttpServer::HttpServer(const base::Address& address, int max_connections, Handler handler)
-    : impl_(std::make_unique<Impl>(max_connections, std::move(handler))) {
+HttpServer::HttpServer(const base::Address& address, int max_connections, Handler handler,
+                       std::size_t max_body)
+    : impl_(std::make_unique<Impl>(max_connections, std::move(handler), max_body)) {
   if (address.port == 0) {
     port_ = impl_->bind_to_any_port(address.host);
   } else if (impl_->bind_to_port(address.host, address.port)) {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -17,7 +17,8 @@
 class HttpServer {
  public:
   // Throws std::runtime_error when the address can't be had.
-  HttpServer(const base::Address& address, int max_connections, Handler handler);
+  HttpServer(const base::Address& address, int max_connections, Handler handler,
+             std::size_t max_body = 64 * 1024);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
