Write share by living members, paid after the commit; urgent ends first

Now the share is by living members, the debt is waited for before planning, and urgent work's ends go into the record first. With it: the first offers of a job are made where it was accepted, offers that did not reach their part are made anew at once.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -49,7 +49,7 @@
 struct Tuning {
   Seconds round_period{1.0};  // how often a quiet controller starts a round
   Seconds member_ttl{5.0};    // a silent member's authority ends after this
-  Seconds idle_return{8.0};  // an idle machine goes back after this
+  Seconds idle_return{8.0};   // an idle machine goes back after this
   double headroom = 0.5;      // room kept for arriving services, as a share of what arrives
                               // while a machine boots
   Seconds mute_release{0.0};  // a mute machine is given back after this; 0: from the lease
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -108,6 +108,10 @@
 
   // --- rounds
   void add_offers(const protocol::Offers& offers, Time now);
+  // A job was accepted here: its first offers are made here, not by its home, which may be down.
+  void accepted(const JobId& job) { accepted_.insert(job); }
+  // Offers did not reach their part: its owner is passed over until it is heard again.
+  void offers_lost(const MemberId& member, const std::vector<protocol::Offers>& offers);
   // Splits waiting tasks of this node's jobs among the parts; own shares go to its own pool.
   std::map<MemberId, protocol::Offers> route(Time now);
   RoundPlan plan(Time now);
@@ -207,6 +211,7 @@
   std::set<MachineId> mute_;  // owned, silent, and to be released for proof
   std::deque<PoolEntry> pool_;
   std::map<TaskId, Time> offered_;
+  std::set<JobId> accepted_;
   std::map<JobId, Failures> failures_;
   std::set<JobId> guaranteed_;
   double wall_offset_ = 0;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -234,6 +234,12 @@
 
   std::vector<RoundPlan::End> ends;
   collect_ends(now, ends);
+  // After a crash there may be more ends than one record holds: the urgent work's come first.
+  std::stable_sort(ends.begin(), ends.end(), [&](const auto& a, const auto& b) {
+    const Job* x = ledger_.job(a.task.job);
+    const Job* y = ledger_.job(b.task.job);
+    return (x ? tier_of(*x) : 99) < (y ? tier_of(*y) : 99);
+  });
   for (RoundPlan::End& end : ends) {
     Edit* e = edit(end.task.job, end.task.no);
     if (!e) continue;
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr Seconds kRoomFresh{4.0};  // a sibling's room is relied on for this long
+constexpr Seconds kFirstOffers{0.6};  // made by the node that accepted the job, then by its home
+constexpr Seconds kRoomFresh{4.0};    // a sibling's room is relied on for this long
 
 struct Part {
   MemberId member;
@@ -86,6 +87,17 @@
 
 }  // namespace
 
+void Controller::offers_lost(const MemberId& member, const std::vector<protocol::Offers>& offers) {
+  siblings_.erase(member);
+  for (const protocol::Offers& all : offers) {
+    for (const protocol::Offer& o : all.offers) {
+      for (const auto& [first, count] : o.ranges) {
+        for (TaskNo i = 0; i < count; ++i) offered_.erase({o.job, first + i});
+      }
+    }
+  }
+}
+
 std::map<MemberId, protocol::Offers> Controller::route(Time now) {
   std::map<MemberId, protocol::Offers> out;
   if (!entitled(now)) return out;
@@ -93,11 +105,14 @@
   std::erase_if(offered_, [&](const auto& o) { return base::between(o.second, now) > patience; });
 
   find_guaranteed();
+  std::erase_if(accepted_, [&](const JobId& id) { return !ledger_.job(id); });
   std::vector<const Job*> jobs;
   for (const auto& [id, job] : ledger_.jobs()) {
     if (job.pending() == 0) continue;
     const Life* home = home_of(*ledger_.view(), id);
-    if (home && *home == self_) jobs.push_back(&job);
+    const bool at_home = home && *home == self_;
+    const bool is_new = base::between(job.seen, now) < kFirstOffers;
+    if (accepted_.contains(id) ? at_home || is_new : at_home && !is_new) jobs.push_back(&job);
   }
   if (jobs.empty()) return out;
   // Urgent ones see the free room first; among equals what is due first.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -194,6 +194,10 @@
     }
     const auto answer = sibling.http.post("/sibling", body.dump(), Seconds(1.0));
     if (!answer.ok()) {
+      if (!offers.empty()) {
+        locked([&](auto& c) { c.offers_lost(sibling.id, offers); });
+        round_bell_.ring();
+      }
       pause(kShortPause);
       continue;
     }
@@ -407,13 +411,22 @@
 
 // --- rounds
 
+// This node's share of the store's write rate, with a second's worth saved up at most. Paid after the
+// commit, so that nothing is planned and then left to grow old: while in debt, the next round waits,
+// and its batch is wider for it.
 void Node::pay_writes(std::size_t n) {
-  // This node's share of the store's write rate, with a second's worth saved up at most.
-  const double rate = settings_.state_write_rps * 0.8 / std::max(1, settings_.size);
+  write_credit_ -= static_cast<double>(n);
+}
+
+void Node::await_writes() {
+  const auto members = locked([](coordination::Controller& c) {
+    return c.ledger().view() ? c.ledger().view()->members.size() : std::size_t{0};
+  });
+  const double rate =
+      settings_.state_write_rps * 0.85 / static_cast<double>(std::max<std::size_t>(1, members));
   const Time t = now();
   write_credit_ = std::min(rate, write_credit_ + base::between(write_credit_at_, t).count() * rate);
   write_credit_at_ = t;
-  write_credit_ -= static_cast<double>(n);
   if (write_credit_ < 0) pause(Seconds(-write_credit_ / rate));
 }
 
@@ -428,6 +441,7 @@
 
 void Node::one_round() {
   for (int i = 0; i < 6; ++i) {
+    await_writes();
     auto routed = locked([](coordination::Controller& c) {
       c.follow(now());
       auto out = c.route(now());
@@ -470,8 +484,8 @@
 
 bool Node::commit_plan(const coordination::RoundPlan& plan,
                        std::vector<coordination::Order>& orders) {
-  pay_writes(plan.txn.writes.size());
   const auto done = state_.commit(plan.txn, kStateCall);
+  pay_writes(plan.txn.writes.size());
   switch (done.outcome) {
     case Outcome::kDone:
       orders = locked([&](coordination::Controller& c) {
--- a/src/users.cpp
+++ b/src/users.cpp
@@ -107,6 +107,7 @@
       locked([&](coordination::Controller& c) {
         c.ledger().apply({txn.writes[0].key, *txn.writes[0].value, Version(done.revision.get())},
                          now);
+        c.accepted(spec.id);
       });
       store_.changed();
       spdlog::debug("{} accepted", spec.id.get());
