--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -10,10 +10,6 @@
 
 constexpr std::size_t kFinalsKept = 8192;  // older ones are read from the store when asked for
 
-bool under(const std::string& key, const std::string& prefix) {
-  return key.compare(0, prefix.size(), prefix) == 0;
-}
-
 }  // namespace
 
 bool Ledger::apply(const Item& item, Time now) {
@@ -25,7 +21,7 @@
 
   const bool removal = item.value.is_null();
   const std::string key = item.key;
-  if (under(key, protocol::kFinals)) {
+  if (key.starts_with(protocol::kFinals)) {
     if (const auto f = protocol::parse_final(item.value)) {
       remember_final(JobId(key.substr(protocol::kFinals.size())), *f);
     }
@@ -37,18 +33,18 @@
   } else {
     versions_[key] = item.version;
   }
-  if (under(key, protocol::kJobs)) {
+  if (key.starts_with(protocol::kJobs)) {
     put_job(item, now);
-  } else if (under(key, protocol::kChunks)) {
+  } else if (key.starts_with(protocol::kChunks)) {
     put_chunk(item);
-  } else if (under(key, protocol::kMembers)) {
+  } else if (key.starts_with(protocol::kMembers)) {
     const MemberId member(key.substr(protocol::kMembers.size()));
     if (const auto record = protocol::parse_member(item.value)) {
       members_[member] = *record;
     } else {
       members_.erase(member);
     }
-  } else if (under(key, protocol::kClaims)) {
+  } else if (key.starts_with(protocol::kClaims)) {
     const MachineId machine(key.substr(protocol::kClaims.size()));
     if (const auto life = protocol::parse_life(item.value)) {
       claims_[machine] = *life;
@@ -67,6 +63,12 @@
   return true;
 }
 
+void Ledger::apply(const protocol::Transaction& txn, Revision committed, Time now) {
+  for (const protocol::Put& w : txn.writes) {
+    apply({w.key, w.value ? *w.value : protocol::Json(), Version(committed.get())}, now);
+  }
+}
+
 void Ledger::count(const Job& job, std::size_t chunk, int sign) {
   for (const auto& [no, held] : job.chunks[chunk].record.held) {
     const TaskId task{job.record.spec.id, no};
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -69,6 +69,8 @@
 
   // An item as listed, watched or committed. Returns false if it was known or older.
   bool apply(const Item& item, Time now);
+  // All that a transaction wrote, which was committed at this revision.
+  void apply(const protocol::Transaction& txn, Revision committed, Time now);
   // The watch (or the first load) has told everything up to here.
   void caught_up(Revision revision);
   Revision revision() const { return revision_; }
--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -23,7 +23,6 @@
   Report last;
   Time heard{};     // when the newest report came
   Time answered{};  // when a report was last answered with 200 by anyone who may have done so
-  Time first_heard{};
   Time idle_since{};
   std::optional<Time> taken_at;  // when the cloud's notice says that the machine goes
   // Tokens. A direct order is given under a token of its own; the next answer carries a higher one.
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -278,7 +278,6 @@
   auto [at, is_new] = machines_.try_emplace(report.machine);
   Machine& m = at->second;
   if (is_new) {
-    m.first_heard = now;
     m.idle_since = now;
     m.token = base_token_;
     m.floor = base_token_;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -185,8 +185,7 @@
           const MachineRoom* other = sites[o].machine;
           if (o == b || !other || other->tasks == 0 || !left[o].free.fits(spec->need) ||
               !may_run(*spec, other->type, other->zone, other->spot) ||
-              std::find(other->images.begin(), other->images.end(), spec->image) ==
-                  other->images.end()) {
+              !other->has_image(spec->image)) {
             continue;
           }
           to = o;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -550,9 +550,7 @@
 
 std::vector<Order> Controller::committed(const RoundPlan& plan, Version version, Time now) {
   std::vector<Order> orders;
-  for (const auto& w : plan.txn.writes) {
-    ledger_.apply({w.key, w.value ? *w.value : protocol::Json(), version}, now);
-  }
+  ledger_.apply(plan.txn, base::Revision(version.get()), now);
   for (const RoundPlan::End& end : plan.ends) {
     absent_.erase(end.task);
     spdlog::debug("{}/{} on {} is over: {}", end.task.job.get(), end.task.no, end.machine.get(),
@@ -654,8 +652,7 @@
         const auto& spec = job->record.spec;
         const auto takes = [&](const MachineRoom& r) {
           return r.open && r.id != id && r.tasks > 0 && r.free.fits(spec.need) &&
-                 may_run(spec, r.type, r.zone, r.spot) &&
-                 std::find(r.images.begin(), r.images.end(), spec.image) != r.images.end();
+                 may_run(spec, r.type, r.zone, r.spot) && r.has_image(spec.image);
         };
         if (std::none_of(known.begin(), known.end(), [&](const auto& part) {
               return std::any_of(part.second.begin(), part.second.end(), takes);
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -45,7 +45,7 @@
   // Could one task be placed if lower ranks were stopped?
   bool could_displace(const protocol::JobSpec& spec, bool with_image = false) const {
     return std::any_of(machines.begin(), machines.end(), [&](const MachineRoom& m) {
-      if (with_image && std::find(m.images.begin(), m.images.end(), spec.image) == m.images.end()) {
+      if (with_image && !m.has_image(spec.image)) {
         return false;
       }
       Resources r = m.free;
@@ -179,9 +179,7 @@
           if (all[p].room_for(spec) == 0 && !displaces) continue;
           // A part where the image is already beats a roomier one where it must be fetched, and
           // so does one with room where controllers are.
-          const auto has = [&](const MachineRoom& m) {
-            return std::find(m.images.begin(), m.images.end(), spec.image) != m.images.end();
-          };
+          const auto has = [&](const MachineRoom& m) { return m.has_image(spec.image); };
           const auto near = [&](const MachineRoom& m) {
             return settings_.controller_zones.contains(m.zone);
           };
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -283,10 +283,7 @@
       const auto done = state_.commit(*txn, kStateCall);
       if (done.outcome == Outcome::kDone) {
         locked([&](coordination::Controller& c) {
-          for (const auto& w : txn->writes) {
-            c.ledger().apply({w.key, w.value ? *w.value : Json(), Version(done.revision.get())},
-                             now());
-          }
+          c.ledger().apply(*txn, done.revision, now());
           c.follow(now());
         });
         round_bell_.ring();
@@ -364,8 +361,7 @@
         if (!c.ledger().apply(e, now())) continue;
         changed = true;
         members = members || e.key == protocol::kViewKey || e.key == protocol::kLeadKey ||
-                  e.key.compare(0, protocol::kMembers.size(), protocol::kMembers) == 0 ||
-                  e.key.compare(0, protocol::kClaims.size(), protocol::kClaims) == 0;
+                  e.key.starts_with(protocol::kMembers) || e.key.starts_with(protocol::kClaims);
       }
       c.ledger().caught_up(w.revision);
       c.follow(now());
@@ -385,8 +381,7 @@
     // Only what stands for itself may be read ahead of the watch. The view and the rows of starts
     // stand for all that was committed before them: known without it, a team's use would miss
     // other nodes' starts.
-    const bool alone = key.compare(0, protocol::kJobs.size(), protocol::kJobs) == 0 ||
-                       key.compare(0, protocol::kChunks.size(), protocol::kChunks) == 0;
+    const bool alone = key.starts_with(protocol::kJobs) || key.starts_with(protocol::kChunks);
     if (!alone) continue;
     auto got = state_.get(key, kUserCall);
     if (!got.answered) return;
@@ -398,11 +393,7 @@
 bool Node::commit(const Transaction& txn, Seconds timeout) {
   const auto done = state_.commit(txn, timeout);
   if (done.outcome == Outcome::kDone) {
-    locked([&](coordination::Controller& c) {
-      for (const auto& w : txn.writes) {
-        c.ledger().apply({w.key, w.value ? *w.value : Json(), Version(done.revision.get())}, now());
-      }
-    });
+    locked([&](coordination::Controller& c) { c.ledger().apply(txn, done.revision, now()); });
     return true;
   }
   if (done.outcome == Outcome::kConflict) refresh(done.failed);
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -13,6 +13,7 @@
 //   s/fleet              machines rented and not heard of yet
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -149,6 +150,10 @@
   double idle_s = 0;  // since it last had a task
   std::vector<std::string> images;
   bool silent = false;  // no report for a while
+
+  bool has_image(const std::string& image) const {
+    return std::find(images.begin(), images.end(), image) != images.end();
+  }
 };
 
 struct MemberStatus {
--- a/src/users.cpp
+++ b/src/users.cpp
@@ -105,8 +105,7 @@
   switch (done.outcome) {
     case Outcome::kDone:
       locked([&](coordination::Controller& c) {
-        c.ledger().apply({txn.writes[0].key, *txn.writes[0].value, Version(done.revision.get())},
-                         now);
+        c.ledger().apply(txn, done.revision, now);
         c.accepted(spec.id);
       });
       store_.changed();
@@ -154,10 +153,7 @@
     const auto done = store_.commit(txn);
     if (done.outcome == Outcome::kRefused) break;
     if (done.outcome != Outcome::kDone) continue;  // changed meanwhile, or no answer: look again
-    locked([&](coordination::Controller& c) {
-      c.ledger().apply({txn.writes[0].key, *txn.writes[0].value, Version(done.revision.get())},
-                       now);
-    });
+    locked([&](coordination::Controller& c) { c.ledger().apply(txn, done.revision, now); });
     spdlog::info("{} withdrawn", id.get());
     store_.changed();
     return known_final(id, protocol::JobStatus::kWithdrawn);
