Packing by heap, records by part, ends recorded together

A job's record says how many tasks share a chunk, so that parts seldom share one. A reported end frees its room at once and is recorded with others of its chunk; a job leaves with its last end.

--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -108,7 +108,7 @@
   job.record = std::move(*record);
   job.version = item.version;
   job.seen = now;
-  job.chunks.resize((job.record.spec.tasks + protocol::kChunk - 1) / protocol::kChunk);
+  job.chunks.resize(job.record.chunks());
   for (std::size_t c = 0; c < job.chunks.size(); ++c) {
     job.chunks[c].record.done.assign(job.chunk_size(c), false);
   }
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -47,17 +47,17 @@
   TaskNo held = 0;
   Time seen{};  // when this process first saw it
 
-  TaskNo chunk_first(std::size_t c) const { return static_cast<TaskNo>(c) * protocol::kChunk; }
+  TaskNo chunk_first(std::size_t c) const { return static_cast<TaskNo>(c) * record.chunk; }
   TaskNo chunk_size(std::size_t c) const {
-    return std::min(protocol::kChunk, record.spec.tasks - chunk_first(c));
+    return std::min(record.chunk, record.spec.tasks - chunk_first(c));
   }
   TaskNo pending() const { return record.withdrawn ? 0 : record.spec.tasks - done - held; }
   bool is_done(TaskNo no) const {
-    const auto& c = chunks[no / protocol::kChunk];
-    return c.record.done[no % protocol::kChunk];
+    const auto& c = chunks[record.chunk_of(no)];
+    return c.record.done[no % record.chunk];
   }
   const Held* holder(TaskNo no) const {
-    const auto& held_by = chunks[no / protocol::kChunk].record.held;
+    const auto& held_by = chunks[record.chunk_of(no)].record.held;
     const auto it = held_by.find(no);
     return it == held_by.end() ? nullptr : &it->second;
   }
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -427,7 +427,7 @@
   const auto& held = ledger_.held_by(m.last.machine);
   for (const auto& [task, h] : held) {
     const Job* job = ledger_.job(task.job);
-    if (!job) continue;
+    if (!job || reported_over(m, task, h)) continue;
     free -= job->record.spec.need;
     if (lower && job->record.spec.rank >= protocol::Rank::kStandard && !m.evict.contains(task)) {
       *lower += job->record.spec.need;
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -59,10 +59,16 @@
     bool done = false;
   };
   std::vector<End> ends;
-  bool more = false;  // what fits one transaction is not all
   bool empty() const { return txn.writes.empty(); }
 };
 
+// How much of the store's write rate a round may use.
+enum class Pace {
+  kUrgent,  // more than its share is used up: only what users wait for
+  kNormal,
+  kSpare,  // also records that could wait
+};
+
 // The leader's word to a member that told its status.
 struct Instructions {
   std::vector<MachineId> gone;   // released: they and all on them are gone
@@ -114,7 +120,7 @@
   void offers_lost(const MemberId& member, const std::vector<protocol::Offers>& offers);
   // Splits waiting tasks of this node's jobs among the parts; own shares go to its own pool.
   std::map<MemberId, protocol::Offers> route(Time now);
-  RoundPlan plan(Time now);
+  RoundPlan plan(Time now, Pace pace);
   // The plan was committed at this version: the starts to send at once.
   std::vector<Order> committed(const RoundPlan& plan, Version version, Time now);
   // Stops for tasks that are to go, to be sent at once rather than with the next report's answer.
@@ -160,10 +166,15 @@
   void observe(const Report& report, Time now, bool is_hello);
   std::vector<Command> reconcile(const Machine& m) const;
   Resources free_room(const Machine& m, Resources* lower) const;
+  Resources being_stopped(const Machine& m) const;
   MachineRoom room_of(const Machine& m, Time now) const;
   std::string zone_of(const MachineId& machine) const;
+  // Has the machine reported the end of this attempt? Its room is free then, on record or not.
+  static bool reported_over(const Machine& m, const TaskId& task, const protocol::Held& held);
   void collect_ends(Time now, std::vector<RoundPlan::End>& ends);
+  bool can_wait(const RoundPlan::End& end, const std::set<TaskId>& ended, Time now);
   void failed(const JobId& job, Machine& m, Time now);
+  void learn_run_time(const RoundPlan::End& end);
   void housekeeping(Time now);
   void count_arrivals(Time now);
   std::map<JobId, std::size_t> timely_share(Time now, double boot) const;
@@ -208,7 +219,8 @@
   std::map<TaskId, base::Attempt> absent_;  // withdrawn, and certainly never to start
   std::map<MachineId, std::string> zones_;
   std::map<std::pair<TaskId, std::uint64_t>, Time> stop_sent_;
-  std::set<MachineId> mute_;  // owned, silent, and to be released for proof
+  std::map<TaskId, Time> end_seen_;  // of ends that wait to be put on record with others
+  std::set<MachineId> mute_;         // owned, silent, and to be released for proof
   std::deque<PoolEntry> pool_;
   std::map<TaskId, Time> offered_;
   std::set<JobId> accepted_;
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -31,13 +31,15 @@
   return {};
 }
 
-Transaction acceptance(const protocol::JobSpec& spec, double wall_now) {
+Transaction acceptance(const protocol::JobSpec& spec, double wall_now, std::size_t parts) {
   Transaction txn;
   // Neither live nor over: an id is accepted once, whichever nodes its retries reach.
   txn.guards[protocol::job_key(spec.id)] = base::Version(0);
   txn.guards[protocol::final_key(spec.id)] = base::Version(0);
   txn.writes.push_back(
-      {protocol::job_key(spec.id), to_json(protocol::JobRecord{spec, wall_now, false}), {}});
+      {protocol::job_key(spec.id),
+       to_json(protocol::JobRecord{spec, wall_now, false, protocol::chunk_size(spec.tasks, parts)}),
+       {}});
   return txn;
 }
 
@@ -57,6 +59,12 @@
   // A withdrawn job stays until nothing of it is on a machine: its tasks count for the team.
   if (job.held > 0 || (!all_done && !job.record.withdrawn)) return {};
   Transaction txn;
+  add_finish(txn, job, txn_ops);
+  return txn;
+}
+
+void add_finish(Transaction& txn, const bookkeeping::Job& job, std::size_t txn_ops) {
+  const auto& spec = job.record.spec;
   // A withdrawal between the last end and here wins: users were told so.
   txn.guards[protocol::job_key(spec.id)] = job.version;
   const auto state =
@@ -73,7 +81,6 @@
     txn.guards[key] = job.chunks[c].version;
     txn.writes.push_back({key, {}, {}});
   }
-  return txn;
 }
 
 }  // namespace saddleslip::coordination
--- a/src/coordination/intake.h
+++ b/src/coordination/intake.h
@@ -12,9 +12,12 @@
 std::optional<std::string> never_runs(const protocol::JobSpec& spec, const base::Settings& settings,
                                       const std::vector<protocol::MachineType>& catalogue);
 
-protocol::Transaction acceptance(const protocol::JobSpec& spec, double wall_now);
+// `parts`: among how many controllers the machines are parted.
+protocol::Transaction acceptance(const protocol::JobSpec& spec, double wall_now, std::size_t parts);
 protocol::Transaction withdrawal(const protocol::JobRecord& job, base::Version version);
 
+// Adds what moves a job that is over out of the way.
+void add_finish(protocol::Transaction& txn, const bookkeeping::Job& job, std::size_t txn_ops);
 // A job that is over, moved out of the way: its record becomes small and final. None if it isn't.
 std::optional<protocol::Transaction> finish(const bookkeeping::Job& job, std::size_t txn_ops);
 
--- a/src/coordination/packing.cpp
+++ b/src/coordination/packing.cpp
@@ -1,7 +1,8 @@
 #include "coordination/packing.h"
 
 #include <algorithm>
-#include <set>
+#include <map>
+#include <queue>
 
 namespace saddleslip::coordination {
 
@@ -16,47 +17,105 @@
   return length > 0 ? dot / length : 0;
 }
 
+namespace {
+
+// The groups of one tier and pass that a bin may still take.
+struct Candidate {
+  std::size_t bin;
+  std::vector<std::size_t> groups;
+};
+
+// A bin's best pair. Entries are not taken back when the bin is scored anew: their turn tells.
+struct Entry {
+  double score;
+  std::size_t bin;
+  std::size_t candidate;
+  std::size_t group;
+  std::uint32_t turn;
+
+  // std::priority_queue puts the largest first: the highest score, then the first bin.
+  bool operator<(const Entry& o) const { return score != o.score ? score < o.score : bin > o.bin; }
+};
+
+void pack_pass(std::vector<Group>& groups, std::vector<Bin>& bins, const Resources& scale,
+               std::vector<Candidate>& candidates, std::vector<Placement>& placements) {
+  std::vector<std::uint32_t> turns(candidates.size(), 0);
+  std::priority_queue<Entry> queue;
+  const auto rescore = [&](std::size_t c) {
+    Candidate& candidate = candidates[c];
+    const Resources& free = bins[candidate.bin].free;
+    // Room only shrinks, and a group that is used up stays so.
+    std::erase_if(candidate.groups, [&](std::size_t g) {
+      return groups[g].count == 0 || !free.fits(groups[g].need);
+    });
+    ++turns[c];
+    if (candidate.groups.empty()) return;
+    Entry best{-1, candidate.bin, c, 0, turns[c]};
+    for (const std::size_t g : candidate.groups) {
+      const double s = score(groups[g].need, free, scale);
+      if (s > best.score) {
+        best.score = s;
+        best.group = g;
+      }
+    }
+    queue.push(best);
+  };
+  for (std::size_t c = 0; c < candidates.size(); ++c) rescore(c);
+  while (!queue.empty()) {
+    const Entry top = queue.top();
+    queue.pop();
+    if (top.turn != turns[top.candidate]) continue;
+    Group& group = groups[top.group];
+    // Other placements may have used up the group, its zone or its team's limit meanwhile.
+    const bool may = group.count > 0 && (!group.allowed || group.allowed(top.bin));
+    if (may) {
+      placements.push_back({top.group, top.bin, top.score});
+      --group.count;
+      bins[top.bin].free -= group.need;
+      if (group.placed) group.placed(top.bin);
+    } else {
+      std::erase(candidates[top.candidate].groups, top.group);
+    }
+    rescore(top.candidate);
+  }
+}
+
+}  // namespace
+
 std::vector<Placement> pack(std::vector<Group>& groups, std::vector<Bin>& bins,
                             const Resources& scale) {
-  struct Best {
-    double score = -1;
-    std::size_t group = 0;
-  };
   std::vector<Placement> placements;
-  std::set<int> tiers;
-  for (const Group& g : groups) tiers.insert(g.tier);
-  for (const int tier : tiers) {
-    std::vector<Best> best(bins.size());
-    const auto rescore = [&](std::size_t b) {
-      best[b] = Best{};
-      for (std::size_t g = 0; g < groups.size(); ++g) {
-        const Group& group = groups[g];
-        if (group.tier != tier || group.count == 0 || !bins[b].free.fits(group.need) ||
-            (group.allowed && !group.allowed(b))) {
-          continue;
-        }
-        const double s = score(group.need, bins[b].free, scale);
-        if (s > best[b].score) best[b] = {s, g};
+  std::map<int, std::vector<std::size_t>> tiers;
+  for (std::size_t g = 0; g < groups.size(); ++g) {
+    if (groups[g].count > 0) tiers[groups[g].tier].push_back(g);
+  }
+  std::vector<std::size_t> with_room;
+  for (const auto& [tier, members] : tiers) {
+    // Bins that are too full for any of the tier are passed over in one go.
+    Resources least = groups[members.front()].need;
+    for (const std::size_t g : members) {
+      for (std::size_t i = 0; i < least.v.size(); ++i) {
+        least.v[i] = std::min(least.v[i], groups[g].need.v[i]);
       }
-    };
-    for (std::size_t b = 0; b < bins.size(); ++b) rescore(b);
-    for (;;) {
-      std::size_t at = bins.size();
-      for (std::size_t b = 0; b < bins.size(); ++b) {
-        if (best[b].score >= 0 && (at == bins.size() || best[b].score > best[at].score)) at = b;
+    }
+    std::map<int, std::vector<Candidate>> passes;
+    for (std::size_t b = 0; b < bins.size(); ++b) {
+      if (!bins[b].free.fits(least)) continue;
+      for (const std::size_t g : members) {
+        if (!bins[b].free.fits(groups[g].need)) continue;
+        const int pass = groups[g].pass ? groups[g].pass(b) : 0;
+        if (pass < 0) continue;
+        auto& list = passes[pass];
+        if (list.empty() || list.back().bin != b) list.push_back({b, {}});
+        list.back().groups.push_back(g);
       }
-      if (at == bins.size()) break;
-      Group& group = groups[best[at].group];
-      // Other placements may have used up the group, its zone or its team's limit meanwhile.
-      if (group.count == 0 || (group.allowed && !group.allowed(at))) {
-        rescore(at);
-        continue;
+    }
+    for (auto& [pass, candidates] : passes) {
+      if (std::all_of(members.begin(), members.end(),
+                      [&](std::size_t g) { return groups[g].count == 0; })) {
+        break;
       }
-      placements.push_back({best[at].group, at, best[at].score});
-      --group.count;
-      bins[at].free -= group.need;
-      if (group.placed) group.placed(at);
-      rescore(at);
+      pack_pass(groups, bins, scale, candidates, placements);
     }
   }
   return placements;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -19,7 +19,9 @@
 
 constexpr Seconds kAvoidAfterFailure{30.0};
 constexpr Seconds kStopRepeat{2.0};
-constexpr int kPasses = 8;  // image there, under way, quick or slow to fetch; better zones first
+constexpr double kNearLimit = 0.8;  // of a team's limit: ends are recorded at once from here on
+constexpr int kLastUrgentTier = 3;  // critical and urgent, within a guarantee or not
+constexpr int kSlowFetch = 6;       // the pass of machines that can't fetch the image in time
 constexpr Seconds kPreemptRepeat{6.0};
 constexpr Seconds kDisplaceFor{1.5};
 constexpr Seconds kRoomToMove{1.5};
@@ -82,6 +84,18 @@
   return Seconds(spec.image_gb / type->fetch_gb_per_s * sharing);
 }
 
+// The room of tasks that were told to stop and have not ended yet.
+Resources Controller::being_stopped(const Machine& m) const {
+  Resources room;
+  const auto& held = ledger_.held_by(m.last.machine);
+  for (const TaskId& t : m.evict) {
+    const auto h = held.find(t);
+    const Job* job = ledger_.job(t.job);
+    if (job && h != held.end() && !reported_over(m, t, h->second)) room += job->record.spec.need;
+  }
+  return room;
+}
+
 // Should the job rather take the place of lower work where its image is than wait for the image
 // elsewhere? For a moment only: what was stopped for it must have ended by then.
 bool Controller::displaces_for_image(const Job& job, Time now) const {
@@ -95,10 +109,8 @@
       continue;
     }
     Resources lower, room = free_room(m, &lower);
-    for (const TaskId& t : m.evict) {
-      if (const Job* other = ledger_.job(t.job)) lower += other->record.spec.need;
-    }
     room += lower;
+    room += being_stopped(m);
     if (room.fits(spec.need)) return true;
   }
   return false;
@@ -195,7 +207,39 @@
   }
 }
 
-RoundPlan Controller::plan(Time now) {
+bool Controller::reported_over(const Machine& m, const TaskId& task, const protocol::Held& held) {
+  if (held.session != m.last.session) return false;
+  const auto reported = m.last.tasks.find(task);
+  return reported != m.last.tasks.end() &&
+         std::any_of(reported->second.begin(), reported->second.end(), [&](const auto& r) {
+           return r.attempt == held.attempt && r.state == TaskState::kEnded;
+         });
+}
+
+// May this end be recorded later, together with others of its record? Nothing hangs on it before
+// this part's share of the record is complete: the room is free already, and a task whose machine is lost before then ends
+// at once where it is started again, since its result is kept.
+bool Controller::can_wait(const RoundPlan::End& end, const std::set<TaskId>& ended, Time now) {
+  const Job* job = ledger_.job(end.task.job);
+  if (!end.done || !job || job->record.withdrawn) return false;
+  const Time seen = end_seen_.try_emplace(end.task, now).first->second;
+  if (base::between(seen, now) > settings_.tuning.record_within) return false;
+  // A team near its limit waits for the room that the record still counts.
+  if (ledger_.limited(job->record.spec.team)) {
+    const base::Team& team = settings_.teams.at(job->record.spec.team);
+    const Resources use = ledger_.team_use(job->record.spec.team);
+    if ((team.cores_max > 0 && use.cores() > team.cores_max * kNearLimit) ||
+        (team.gpus_max > 0 && use.gpus() > team.gpus_max * kNearLimit)) {
+      return false;
+    }
+  }
+  const auto& held = job->chunks[job->record.chunk_of(end.task.no)].record.held;
+  return std::any_of(held.begin(), held.end(), [&](const auto& h) {
+    return owns(h.second.machine) && !ended.contains(TaskId{end.task.job, h.first});
+  });
+}
+
+RoundPlan Controller::plan(Time now, Pace pace) {
   RoundPlan plan;
   if (!entitled(now)) {
     entitled_since_.reset();
@@ -215,19 +259,14 @@
   std::set<std::string> teams, serialized;
   std::size_t bytes = 0;
   const auto edit = [&](const JobId& id, TaskNo no) -> Edit* {
-    const std::uint32_t c = no / protocol::kChunk;
+    const Job* job = ledger_.job(id);
+    if (!job) return nullptr;
+    const std::uint32_t c = job->record.chunk_of(no);
     const auto found = edits.find({id, c});
     if (found != edits.end()) return &found->second;
-    const Job* job = ledger_.job(id);
-    if (!job || edits.size() + teams.size() + serialized.size() + 1 > settings_.txn_ops) {
-      plan.more = true;
-      return nullptr;
-    }
+    if (edits.size() + teams.size() + serialized.size() + 1 > settings_.txn_ops) return nullptr;
     bytes += 200 + job->chunks[c].record.held.size() * 48;
-    if (bytes > kMaxRecordBytes && !edits.empty()) {
-      plan.more = true;
-      return nullptr;
-    }
+    if (bytes > kMaxRecordBytes && !edits.empty()) return nullptr;
     return &edits.emplace(std::pair(id, c), Edit{job, c, job->chunks[c].record, false})
                 .first->second;
   };
@@ -235,18 +274,34 @@
   std::vector<RoundPlan::End> ends;
   collect_ends(now, ends);
   // After a crash there may be more ends than one record holds: the urgent work's come first.
-  std::stable_sort(ends.begin(), ends.end(), [&](const auto& a, const auto& b) {
-    const Job* x = ledger_.job(a.task.job);
-    const Job* y = ledger_.job(b.task.job);
-    return (x ? tier_of(*x) : 99) < (y ? tier_of(*y) : 99);
-  });
+  std::set<TaskId> ended;
+  for (const RoundPlan::End& end : ends) ended.insert(end.task);
+  struct Due {
+    int tier;
+    RoundPlan::End* end;
+  };
+  std::vector<Due> now_due;
+  std::vector<RoundPlan::End*> later;
   for (RoundPlan::End& end : ends) {
+    const Job* job = ledger_.job(end.task.job);
+    const int tier = job ? tier_of(*job) : 99;
+    if (can_wait(end, ended, now) || (pace == Pace::kUrgent && tier > kLastUrgentTier)) {
+      later.push_back(&end);
+    } else {
+      now_due.push_back({tier, &end});
+    }
+  }
+  std::erase_if(end_seen_, [&](const auto& e) { return !ended.contains(e.first); });
+  std::stable_sort(now_due.begin(), now_due.end(),
+                   [](const Due& a, const Due& b) { return a.tier < b.tier; });
+  const auto record_end = [&](RoundPlan::End& end) {
     Edit* e = edit(end.task.job, end.task.no);
-    if (!e) continue;
+    if (!e) return;
     e->record.held.erase(end.task.no);
-    if (end.done) e->record.done[end.task.no % protocol::kChunk] = true;
+    if (end.done) e->record.done[end.task.no % e->job->record.chunk] = true;
     plan.ends.push_back(std::move(end));
-  }
+  };
+  for (const Due& d : now_due) record_end(*d.end);
 
   // --- what waits
   std::erase_if(pool_, [&](const PoolEntry& p) { return p.until < now; });
@@ -261,16 +316,17 @@
   for (const PoolEntry& p : pool_) {
     const Job* job = ledger_.job(p.job);
     if (!job || job->record.withdrawn) continue;
+    if (pace == Pace::kUrgent && tier_of(*job) > kLastUrgentTier) continue;
     const auto [at, is_new] = index.try_emplace(p.job, waiting.size());
     if (is_new) waiting.push_back({job, {}, {}, true});
     Waiting& w = waiting[at->second];
     for (const auto& [first, count] : p.ranges) {
       for (TaskNo no = first; no - first < count && no < job->record.spec.tasks; ++no) {
-        const auto e = edits.find({p.job, no / protocol::kChunk});
+        const auto e = edits.find({p.job, job->record.chunk_of(no)});
         const bool held =
             e == edits.end() ? job->holder(no) != nullptr : e->second.record.held.contains(no);
         const bool done =
-            e == edits.end() ? job->is_done(no) : e->second.record.done[no % protocol::kChunk];
+            e == edits.end() ? job->is_done(no) : e->second.record.done[no % job->record.chunk];
         if (!held && !done) w.tasks.push_back(no);
       }
     }
@@ -295,21 +351,19 @@
 
   // When more waits than there is room for, what is due first goes first, job by job; else all of a
   // rank go by the score alone.
-  std::vector<std::size_t> order(waiting.size());
-  for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
+  std::vector<int> order(waiting.size(), 0);
   Resources wanted, room;
   for (const Waiting& w : waiting) {
     wanted += w.job->record.spec.need * static_cast<double>(w.tasks.size());
   }
   for (const Bin& b : bins) room += b.free;
   if (!room.fits(wanted)) {
-    std::vector<std::size_t> by_due = order;
-    std::sort(by_due.begin(), by_due.end(), [&](std::size_t a, std::size_t b) {
-      return due(*waiting[a].job, now) < due(*waiting[b].job, now);
-    });
-    for (std::size_t i = 0; i < by_due.size(); ++i) order[by_due[i]] = i;
-  } else {
-    std::fill(order.begin(), order.end(), 0);
+    std::vector<std::pair<double, std::size_t>> by_due;
+    for (std::size_t i = 0; i < waiting.size(); ++i) {
+      by_due.emplace_back(due(*waiting[i].job, now), i);
+    }
+    std::sort(by_due.begin(), by_due.end());
+    for (std::size_t i = 0; i < by_due.size(); ++i) order[by_due[i].second] = static_cast<int>(i);
   }
   const int jobs = static_cast<int>(waiting.size()) + 1;
 
@@ -330,16 +384,9 @@
     g.need = spec.need;
     g.count = w.tasks.size();
     const auto failing = failures_.find(spec.id);
-    g.allowed = [&, failing](std::size_t b) {
+    g.allowed = [&](std::size_t b) {
+      if (w.tasks.empty()) return false;
       const Report& r = at_bin[b]->last;
-      if (!may_run(spec, r.type, r.zone, r.spot) || w.tasks.empty()) return false;
-      if (failing != failures_.end()) {
-        const auto f = failing->second.machines.find(r.machine);
-        if (f != failing->second.machines.end() &&
-            base::between(f->second, now) < kAvoidAfterFailure) {
-          return false;
-        }
-      }
       if (spec.one_zone || spec.spread) {
         if (!w.zones_known) return false;
         if (spec.one_zone && !w.zones.empty() && !w.zones.contains(r.zone)) return false;
@@ -378,26 +425,27 @@
     // there: services go where controllers are, and other work leaves them the room.
     const auto within = start_within(spec);
     const bool displaces = displaces_for_image(*w.job, now);
-    const auto preference = [&, within](const Machine& m) {
+    g.pass = [&, failing, within, displaces](std::size_t b) {
+      const Machine& m = *at_bin[b];
+      if (!may_run(spec, m.last.type, m.last.zone, m.last.spot)) return -1;
+      if (failing != failures_.end()) {
+        const auto f = failing->second.machines.find(m.last.machine);
+        if (f != failing->second.machines.end() &&
+            base::between(f->second, now) < kAvoidAfterFailure) {
+          return -1;
+        }
+      }
       const bool quick = !within || fetch_time(m, spec) < *within * 0.75;
       const int image = m.has_image(spec.image)          ? 0
                         : m.pulling.contains(spec.image) ? 2
                         : quick                          ? 4
-                                                         : 6;
+                                                         : kSlowFetch;
+      if (displaces && image == kSlowFetch) return -1;
       const bool reachable = settings_.controller_zones.contains(m.last.zone);
       return image + (reachable == (spec.kind == Kind::kService) ? 0 : 1);
     };
-    for (int pass = 0; pass < (displaces ? kPasses - 2 : kPasses); ++pass) {
-      Group each = g;
-      each.tier = (tier_of(*w.job) * jobs +
-                   static_cast<int>(order[static_cast<std::size_t>(&w - &waiting[0])])) *
-                      kPasses +
-                  pass;
-      each.allowed = [&, pass, preference, allowed = g.allowed](std::size_t b) {
-        return preference(*at_bin[b]) == pass && allowed(b);
-      };
-      groups.push_back(std::move(each));
-    }
+    g.tier = tier_of(*w.job) * jobs + order[static_cast<std::size_t>(&w - &waiting[0])];
+    groups.push_back(std::move(g));
   }
   pack(groups, bins, scale);
 
@@ -405,14 +453,13 @@
   for (RoundPlan::Start& s : plan.starts) {
     const auto& spec = ledger_.job(s.task.job)->record.spec;
     const std::string team = ledger_.limited(spec.team) ? protocol::team_key(spec.team) : "";
-    const bool one_by_one = (spec.one_zone || spec.spread) && spec.tasks > protocol::kChunk;
+    const Job& job = *ledger_.job(s.task.job);
+    const bool one_by_one = (spec.one_zone || spec.spread) && job.chunks.size() > 1;
     std::size_t extra = !team.empty() && !teams.contains(team) ? 1 : 0;
     if (one_by_one && !serialized.contains(spec.id.get())) ++extra;
-    const std::uint32_t c = s.task.no / protocol::kChunk;
-    const bool has_edit = edits.contains({spec.id, c});
+    const bool has_edit = edits.contains({spec.id, job.record.chunk_of(s.task.no)});
     if (edits.size() + teams.size() + serialized.size() + extra + (has_edit ? 0 : 1) >
         settings_.txn_ops) {
-      plan.more = true;
       continue;
     }
     Edit* e = edit(spec.id, s.task.no);
@@ -426,6 +473,18 @@
   }
   plan.starts = std::move(kept);
 
+  // Ends that can wait go along with what is written anyway, or while writes are plentiful.
+  std::stable_sort(later.begin(), later.end(), [&](const auto* a, const auto* b) {
+    const auto x = end_seen_.find(a->task), y = end_seen_.find(b->task);
+    return (x == end_seen_.end() ? now : x->second) < (y == end_seen_.end() ? now : y->second);
+  });
+  for (RoundPlan::End* end : later) {
+    const Job* job = ledger_.job(end->task.job);
+    if (!job) continue;
+    if (pace == Pace::kSpare || edits.contains({end->task.job, job->record.chunk_of(end->task.no)}))
+      record_end(*end);
+  }
+
   std::vector<std::pair<const Job*, std::size_t>> left;
   for (const Waiting& w : waiting) {
     if (!w.tasks.empty()) left.emplace_back(w.job, w.tasks.size());
@@ -434,7 +493,29 @@
 
   if (edits.empty()) return plan;
   plan.txn.guards[protocol::kViewKey] = followed_view_;
+  // A job whose last end this is leaves in the same transaction.
+  std::size_t writes = edits.size() + teams.size() + serialized.size();
+  std::map<JobId, std::pair<TaskNo, TaskNo>> after;  // done and held, with what is written here
+  std::set<JobId> leaving;
+  for (const auto& [key, e] : edits) {
+    auto [at, is_new] = after.try_emplace(key.first, e.job->done, e.job->held);
+    const auto& before = e.job->chunks[e.chunk].record;
+    at->second.first += e.record.done_count() - before.done_count();
+    at->second.second +=
+        static_cast<TaskNo>(e.record.held.size()) - static_cast<TaskNo>(before.held.size());
+  }
+  for (const auto& [id, counts] : after) {
+    const Job& job = *ledger_.job(id);
+    const auto& [done, held] = counts;
+    if (held > 0 || (!job.record.withdrawn && done < job.record.spec.tasks)) continue;
+    const std::size_t more = job.chunks.size() + 3;
+    if (writes + more > settings_.txn_ops) continue;
+    writes += more;
+    leaving.insert(id);
+    add_finish(plan.txn, job, settings_.txn_ops);
+  }
   for (auto& [key, e] : edits) {
+    if (leaving.contains(key.first)) continue;
     if (e.started) {
       e.record.next = base::Attempt(e.record.next.get() + 1);
       plan.txn.guards[protocol::job_key(key.first)] = e.job->version;
@@ -505,7 +586,8 @@
         std::vector<Victim> candidates;
         for (const auto& [task, held] : ledger_.held_by(id)) {
           const Job* other = ledger_.job(task.job);
-          if (!other || other->record.withdrawn || m.evict.contains(task) || !may_stop(*other)) {
+          if (!other || other->record.withdrawn || m.evict.contains(task) ||
+              reported_over(m, task, held) || !may_stop(*other)) {
             continue;
           }
           const auto ran = m.ran.find(task);
@@ -515,9 +597,7 @@
         std::sort(candidates.begin(), candidates.end(),
                   [](const Victim& a, const Victim& b) { return a.lost < b.lost; });
         Resources room = free_room(m, nullptr);
-        for (const TaskId& t : m.evict) {
-          if (const Job* other = ledger_.job(t.job)) room += other->record.spec.need;
-        }
+        room += being_stopped(m);
         room -= taken[id];
         double lost = 0, excess = over;
         std::vector<TaskId> chosen;
@@ -548,26 +628,36 @@
   }
 }
 
+// Estimates mislead, often all of a class in the same direction.
+void Controller::learn_run_time(const RoundPlan::End& end) {
+  const auto at = machines_.find(end.machine);
+  const Job* job = ledger_.job(end.task.job);
+  if (at == machines_.end() || !job) return;
+  const auto ran = at->second.ran_before.find(end.task);
+  if (ran == at->second.ran_before.end()) return;
+  if (job->record.spec.estimate.count() > 0) {
+    const double ratio =
+        std::clamp(ran->second.count() / job->record.spec.estimate.count(), 0.2, 5.0);
+    auto [r, first] = run_ratio_.try_emplace(job->record.spec.job_class, 1.0);
+    r->second += 0.05 * (ratio - r->second);
+  }
+  at->second.ran_before.erase(ran);
+}
+
 std::vector<Order> Controller::committed(const RoundPlan& plan, Version version, Time now) {
   std::vector<Order> orders;
+  for (const RoundPlan::End& end : plan.ends) {
+    if (end.done) learn_run_time(end);  // a job that is over leaves with the record of its last end
+  }
   ledger_.apply(plan.txn, base::Revision(version.get()), now);
   for (const RoundPlan::End& end : plan.ends) {
     absent_.erase(end.task);
+    end_seen_.erase(end.task);
     spdlog::debug("{}/{} on {} is over: {}", end.task.job.get(), end.task.no, end.machine.get(),
                   end.why);
     const auto at = machines_.find(end.machine);
     if (at == machines_.end()) continue;
     if (end.done) {
-      // Estimates mislead, often all of a class in the same direction.
-      const auto ran = at->second.ran_before.find(end.task);
-      if (const Job* job = ledger_.job(end.task.job);
-          job && ran != at->second.ran_before.end() && job->record.spec.estimate.count() > 0) {
-        const double ratio =
-            std::clamp(ran->second.count() / job->record.spec.estimate.count(), 0.2, 5.0);
-        auto [r, first] = run_ratio_.try_emplace(job->record.spec.job_class, 1.0);
-        r->second += 0.05 * (ratio - r->second);
-      }
-      at->second.ran_before.erase(end.task);
       at->second.errors = 0;
       at->second.failed_jobs.clear();
       failures_.erase(end.task.job);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -20,7 +20,9 @@
 constexpr Seconds kUserCall{1.2};  // users wait 2 s for a status
 constexpr Seconds kStateCall{1.5};
 constexpr Seconds kShortPause{0.2};
-constexpr Seconds kLeastGap{0.03};  // between two rounds: what comes in a burst shares one
+constexpr Seconds kLeastGap{0.03};   // between two rounds: what comes in a burst shares one
+constexpr double kUrgentDebt = 0.4;  // seconds' worth of writes that urgent work may run ahead
+constexpr double kPlenty = 0.6;      // seconds' worth saved up: records that could wait go too
 constexpr std::size_t kMostOrders = 512;
 constexpr std::size_t kMaxSiblingBody = 2u << 20;  // a status lists all machines of a part
 
@@ -403,22 +405,31 @@
 // --- rounds
 
 // This node's share of the store's write rate, with a second's worth saved up at most. Paid after the
-// commit, so that nothing is planned and then left to grow old: while in debt, the next round waits,
-// and its batch is wider for it.
+// commit, so that nothing is planned and then left to grow old: while in debt, only what users wait
+// for goes on, and the batch of the rest is wider for it.
 void Node::pay_writes(std::size_t n) {
   write_credit_ -= static_cast<double>(n);
 }
 
-void Node::await_writes() {
+double Node::write_rate() {
   const auto members = locked([](coordination::Controller& c) {
     return c.ledger().view() ? c.ledger().view()->members.size() : std::size_t{0};
   });
-  const double rate =
-      settings_.state_write_rps * 0.85 / static_cast<double>(std::max<std::size_t>(1, members));
+  return settings_.state_write_rps * 0.85 / static_cast<double>(std::max<std::size_t>(1, members));
+}
+
+coordination::Pace Node::await_writes() {
+  const double rate = write_rate();
   const Time t = now();
   write_credit_ = std::min(rate, write_credit_ + base::between(write_credit_at_, t).count() * rate);
   write_credit_at_ = t;
-  if (write_credit_ < 0) pause(Seconds(-write_credit_ / rate));
+  const double over = -write_credit_ - rate * kUrgentDebt;
+  if (over > 0) {
+    pause(Seconds(over / rate));
+    return await_writes();
+  }
+  if (write_credit_ <= 0) return coordination::Pace::kUrgent;
+  return write_credit_ > rate * kPlenty ? coordination::Pace::kSpare : coordination::Pace::kNormal;
 }
 
 void Node::rounds() {
@@ -432,7 +443,7 @@
 
 void Node::one_round() {
   for (int i = 0; i < 6; ++i) {
-    await_writes();
+    const auto pace = await_writes();
     auto routed = locked([](coordination::Controller& c) {
       c.follow(now());
       auto out = c.route(now());
@@ -452,7 +463,7 @@
       }
       s->bell.ring();
     }
-    const auto plan = locked([](auto& c) { return c.plan(now()); });
+    const auto plan = locked([&](auto& c) { return c.plan(now(), pace); });
     std::vector<coordination::Order> orders;
     const bool went = !plan.empty() && commit_plan(plan, orders);
     auto stops = locked([](auto& c) { return c.stops(now()); });
--- a/src/node.h
+++ b/src/node.h
@@ -82,7 +82,8 @@
   void enqueue(std::vector<coordination::Order> orders);
   void fleet();
   void pay_writes(std::size_t n);
-  void await_writes();
+  double write_rate();
+  coordination::Pace await_writes();
 
   template <class F>
   auto locked(F f) {
--- a/src/protocol/records.cpp
+++ b/src/protocol/records.cpp
@@ -52,9 +52,16 @@
   return ChunkName{JobId(key.substr(kChunks.size(), slash - kChunks.size())), n};
 }
 
+TaskNo chunk_size(TaskNo tasks, std::size_t parts) {
+  constexpr TaskNo kLeast = 16;
+  const auto n = static_cast<TaskNo>(std::max<std::size_t>(1, parts));
+  return std::clamp((tasks + n - 1) / n, kLeast, kMostChunk);
+}
+
 Json to_json(const JobRecord& job) {
   Json j = {{"s", to_json(job.spec)}, {"at", job.submitted}};
   if (job.withdrawn) j["w"] = true;
+  if (job.chunk != kMostChunk) j["c"] = job.chunk;
   return j;
 }
 
@@ -66,6 +73,11 @@
   job.spec = std::get<JobSpec>(std::move(spec));
   job.submitted = value.value("at", 0.0);
   job.withdrawn = value.value("w", false);
+  const auto chunk = value.find("c");
+  if (chunk != value.end()) {
+    if (!chunk->is_number_unsigned() || *chunk < 1u || *chunk > kMostChunk) return {};
+    job.chunk = chunk->get<TaskNo>();
+  }
   return job;
 }
 
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -1,7 +1,8 @@
 // What the service keeps in the state service, and what controllers tell each other.
 //
 //   s/j/<job>            a job that is not over: what it asks, and whether it was withdrawn
-//   s/t/<job>/<chunk>    its tasks' ranges: done, and held by machines (a chunk is kChunk tasks)
+//   s/t/<job>/<chunk>    its tasks' ranges: done, and held by machines (a chunk is as many tasks as
+//                        the job's record says)
 //   s/f/<job>            a job that is over, for good
 //   s/q/<team>           written with each start for a team with a limit: puts the starts in a row
 //   s/q/job/<job>        the same for a job of several chunks whose tasks share or avoid zones
@@ -29,7 +30,7 @@
 using base::Revision;
 using base::Version;
 
-inline constexpr TaskNo kChunk = 256;
+inline constexpr TaskNo kMostChunk = 256;  // its record must fit one value of the store
 inline const std::string kAll = "s/";
 inline const std::string kViewKey = "s/view";
 inline const std::string kLeadKey = "s/lead";
@@ -76,7 +77,14 @@
   JobSpec spec;
   double submitted = 0;  // by the time of day of the node that accepted it
   bool withdrawn = false;
+  TaskNo chunk = kMostChunk;  // tasks that share a record
+
+  std::uint32_t chunk_of(TaskNo no) const { return no / chunk; }
+  std::size_t chunks() const { return (spec.tasks + chunk - 1) / chunk; }
 };
+// So many tasks to a record that each part of the machines can have records of its own: two nodes
+// that write the same one get in each other's way.
+TaskNo chunk_size(TaskNo tasks, std::size_t parts);
 Json to_json(const JobRecord& job);
 std::optional<JobRecord> parse_job(const Json& value);
 
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -460,7 +460,7 @@
         nodes_[m].rung = true;
       }
     }
-    const auto plan = c.plan(now());
+    const auto plan = c.plan(now(), coordination::Pace::kNormal);
     if (!plan.empty()) {
       const auto done = commit(n, plan.txn);
       if (done.outcome == Outcome::kDone) {
