Facts kept a machine, one look at changes shared by polls, rounds paced

Change: what follows from a machine's report and the record is worked out once while neither changes; routing looks at each part once a job; polls that wait together share one look at the store's changes, begun after they came, which also brings the copy up to date; a round waits six times as long as the last ones' decisions took. Connections to workers are bounded, and users and workers get three quarters of the sockets.

Ruled out: memory (41 of 104 MB at most).

--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -13,6 +13,16 @@
 }  // namespace
 
 bool Ledger::apply(const Item& item, Time now) {
+  const std::string& key = item.key;
+  if (key.starts_with(protocol::kFinals)) {
+    if (const auto f = protocol::parse_final(item.value)) {
+      remember_final(JobId(key.substr(protocol::kFinals.size())), *f);
+    }
+    return true;  // no version kept: there is no end to them
+  }
+  // Told already, or overtaken: a read or a second watch that was answered before the key changed or
+  // went must not bring it back.
+  if (item.version.get() <= revision_.get()) return false;
   const auto known = versions_.find(item.key);
   if (known != versions_.end() && item.version <= known->second) return false;
   const auto gone = removed_.find(item.key);
@@ -20,13 +30,6 @@
   if (gone != removed_.end() && item.version <= gone->second) return false;
 
   const bool removal = item.value.is_null();
-  const std::string key = item.key;
-  if (key.starts_with(protocol::kFinals)) {
-    if (const auto f = protocol::parse_final(item.value)) {
-      remember_final(JobId(key.substr(protocol::kFinals.size())), *f);
-    }
-    return true;  // no version kept: there is no end to them
-  }
   if (removal) {
     if (known != versions_.end()) versions_.erase(known);
     if (item.version.get() > revision_.get()) removed_[key] = item.version;
@@ -79,6 +82,11 @@
       on.erase(task);
       if (on.empty()) by_machine_.erase(held.machine);
     }
+    if (by_machine_.contains(held.machine)) {
+      stamps_[held.machine] = ++last_stamp_;
+    } else {
+      stamps_.erase(held.machine);
+    }
   }
   const auto n = static_cast<double>(job.chunks[chunk].record.held.size());
   if (n > 0) team_use_[job.record.spec.team] += job.record.spec.need * (n * sign);
@@ -102,6 +110,9 @@
   if (at != jobs_.end()) {
     at->second.record = std::move(*record);
     at->second.version = item.version;
+    for (const Chunk& c : at->second.chunks) {
+      for (const auto& [no, held] : c.record.held) stamps_[held.machine] = ++last_stamp_;
+    }
     return;
   }
   Job job;
@@ -154,6 +165,7 @@
 void Ledger::clear() {
   jobs_.clear();
   by_machine_.clear();
+  stamps_.clear();
   team_use_.clear();
   versions_.clear();
   removed_.clear();
@@ -192,6 +204,11 @@
   return it == by_machine_.end() ? kNone : it->second;
 }
 
+std::uint64_t Ledger::stamp(const MachineId& machine) const {
+  const auto it = stamps_.find(machine);
+  return it == stamps_.end() ? 0 : it->second;
+}
+
 Resources Ledger::team_use(const std::string& team) const {
   const auto it = team_use_.find(team);
   return it == team_use_.end() ? Resources{} : it->second;
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -84,6 +84,8 @@
 
   const std::map<TaskId, Held>& held_by(const MachineId& machine) const;
   const std::map<MachineId, std::map<TaskId, Held>>& held() const { return by_machine_; }
+  // Changes whenever what is held by the machine does, or whether it is still wanted; 0: nothing is.
+  std::uint64_t stamp(const MachineId& machine) const;
   Resources team_use(const std::string& team) const;
   bool limited(const std::string& team) const;
   Version version(const std::string& key) const;
@@ -105,6 +107,8 @@
   const base::Settings& settings_;
   std::map<JobId, Job> jobs_;
   std::map<MachineId, std::map<TaskId, Held>> by_machine_;
+  std::unordered_map<MachineId, std::uint64_t> stamps_;
+  std::uint64_t last_stamp_ = 0;
   std::map<std::string, Resources> team_use_;
   std::unordered_map<std::string, Version> versions_;  // of keys that exist
   std::unordered_map<std::string, Version> removed_;   // removals ahead of the watch
--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -19,8 +19,28 @@
 using base::Token;
 using protocol::Report;
 
+// What follows from a machine's report and the record, worked out once while neither changes.
+struct Outlook {
+  bool known = false;
+  std::uint64_t stamp = 0;  // of the record
+  Session session;
+  Sequence sequence;
+  std::size_t evicted = 0;
+  Resources free;
+  Resources lower;      // taken by tasks that more urgent work may stop
+  bool active = false;  // it reports something that is not over
+  bool stops = false;   // something on it is to be stopped
+  struct Over {
+    TaskId task;
+    const char* why;
+    bool done;
+  };
+  std::vector<Over> over;  // held, and over by the machine's own word
+};
+
 struct Machine {
   Report last;
+  mutable Outlook outlook;
   Time heard{};     // when the newest report came
   Time answered{};  // when a report was last answered with 200 by anyone who may have done so
   Time idle_since{};
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -347,20 +347,15 @@
   }
 }
 
-std::vector<Command> Controller::reconcile(const Machine& m) const {
+std::vector<Command> Controller::stops_for(const Machine& m) const {
   std::vector<Command> out;
   const auto& held = ledger_.held_by(m.last.machine);
   for (const auto& [task, attempts] : m.last.tasks) {
     const auto h = held.find(task);
     const Job* job = ledger_.job(task.job);
     for (const auto& t : attempts) {
+      if (t.state == protocol::TaskState::kEnded) continue;
       const bool ours = h != held.end() && h->second.attempt == t.attempt;
-      if (t.state == protocol::TaskState::kEnded) {
-        // Forgotten only once its end is on record and no copy of its start can arrive any more:
-        // the worker would run it again.
-        if (!ours && m.fenced()) out.push_back({Command::Op::kForget, task, t.attempt, {}});
-        continue;
-      }
       const bool wanted = ours && job && !job->record.withdrawn && !m.evict.contains(task);
       if (wanted) continue;
       const bool save =
@@ -370,6 +365,26 @@
                      save ? job->record.spec.save + Seconds(1.0) : Seconds(0)});
     }
   }
+  return out;
+}
+
+std::vector<Command> Controller::reconcile(const Machine& m) const {
+  std::vector<Command> out;
+  if (look(m).stops) out = stops_for(m);
+  const auto& held = ledger_.held_by(m.last.machine);
+  if (m.fenced()) {
+    for (const auto& [task, attempts] : m.last.tasks) {
+      const auto h = held.find(task);
+      for (const auto& t : attempts) {
+        // Forgotten only once its end is on record and no copy of its start can arrive any more:
+        // the worker would run it again.
+        const bool ours = h != held.end() && h->second.attempt == t.attempt;
+        if (t.state == protocol::TaskState::kEnded && !ours) {
+          out.push_back({Command::Op::kForget, task, t.attempt, {}});
+        }
+      }
+    }
+  }
   for (const auto& [task, h] : held) {
     if (h.session != m.last.session || m.evict.contains(task)) continue;
     const Job* job = ledger_.job(task.job);
@@ -420,31 +435,57 @@
   return base::between(m.heard, now) < settings_.report_every * 2.5;
 }
 
-Resources Controller::free_room(const Machine& m, Resources* lower) const {
+const bookkeeping::Outlook& Controller::look(const Machine& m) const {
+  bookkeeping::Outlook& o = m.outlook;
+  const std::uint64_t stamp = ledger_.stamp(m.last.machine);
+  if (o.known && o.stamp == stamp && o.session == m.last.session && o.sequence == m.last.sequence &&
+      o.evicted == m.evict.size()) {
+    return o;
+  }
+  o = {};
   const auto* type = ledger_.type(m.last.type);
-  if (!type) return {};
-  Resources free = type->size;
+  o.known = type != nullptr;
+  o.stamp = stamp;
+  o.session = m.last.session;
+  o.sequence = m.last.sequence;
+  o.evicted = m.evict.size();
+  if (type) o.free = type->size;
   const auto& held = ledger_.held_by(m.last.machine);
   for (const auto& [task, h] : held) {
     const Job* job = ledger_.job(task.job);
-    if (!job || reported_over(m, task, h)) continue;
-    free -= job->record.spec.need;
-    if (lower && job->record.spec.rank >= protocol::Rank::kStandard && !m.evict.contains(task)) {
-      *lower += job->record.spec.need;
+    if (!job) continue;
+    const auto& spec = job->record.spec;
+    if (h.session < m.last.session) {
+      o.over.push_back({task, "worker began a new session", false});
+    } else if (const auto* t = reported(m, task, h); t && t->state == protocol::TaskState::kEnded) {
+      o.over.push_back(
+          {task, protocol::to_string(t->cause),
+           t->cause == protocol::Cause::kDone && spec.kind != protocol::Kind::kService});
+    } else {
+      const auto absent = absent_.find(task);
+      if (absent != absent_.end() && absent->second == h.attempt) {
+        o.over.push_back({task, "never started", false});
+      }
+      o.free -= spec.need;
+      if (spec.rank >= protocol::Rank::kStandard && !m.evict.contains(task)) o.lower += spec.need;
     }
   }
+  bool strange = false;
   for (const auto& [task, attempts] : m.last.tasks) {
     const auto h = held.find(task);
     for (const auto& t : attempts) {
       if (t.state == protocol::TaskState::kEnded) continue;
+      o.active = true;
       if (h != held.end() && h->second.attempt == t.attempt) continue;
       const Job* job = ledger_.job(task.job);
-      if (!job) return {};  // it is being stopped, and nobody knows how much it takes
-      free -= job->record.spec.need;
+      strange = strange || !job;
+      if (job) o.free -= job->record.spec.need;
     }
   }
-  for (double& x : free.v) x = std::max(x, 0.0);
-  return free;
+  for (double& x : o.free.v) x = std::max(x, 0.0);
+  if (strange) o.free = {};  // it is being stopped, and nobody knows how much it takes
+  o.stops = !stops_for(m).empty();
+  return o;
 }
 
 MachineRoom Controller::room_of(const Machine& m, Time now) const {
@@ -455,7 +496,8 @@
   r.spot = m.last.spot;
   r.silent = !fresh(m, now);
   r.open = !m.closed && !r.silent;
-  r.free = free_room(m, &r.lower);
+  r.free = look(m).free;
+  r.lower = look(m).lower;
   r.tasks = static_cast<std::uint32_t>(ledger_.held_by(m.last.machine).size());
   for (const auto& [image, gb] : m.images) r.images.push_back(image);
   r.idle_s = r.tasks > 0 ? 0.0 : base::between(m.idle_since, now).count();
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -165,10 +165,13 @@
   bool fresh(const Machine& m, Time now) const;
   void observe(const Report& report, Time now, bool is_hello);
   std::vector<Command> reconcile(const Machine& m) const;
-  Resources free_room(const Machine& m, Resources* lower) const;
+  std::vector<Command> stops_for(const Machine& m) const;
+  const bookkeeping::Outlook& look(const Machine& m) const;
   Resources being_stopped(const Machine& m) const;
   MachineRoom room_of(const Machine& m, Time now) const;
   std::string zone_of(const MachineId& machine) const;
+  static const protocol::ReportedTask* reported(const Machine& m, const TaskId& task,
+                                                const protocol::Held& held);
   // Has the machine reported the end of this attempt? Its room is free then, on record or not.
   static bool reported_over(const Machine& m, const TaskId& task, const protocol::Held& held);
   void collect_ends(Time now, std::vector<RoundPlan::End>& ends);
@@ -224,6 +227,7 @@
   std::deque<PoolEntry> pool_;
   std::map<TaskId, Time> offered_;
   std::set<JobId> accepted_;
+  std::map<JobId, std::size_t> displacing_;  // how often a part was asked to make room
   std::map<JobId, Failures> failures_;
   std::set<JobId> guaranteed_;
   double wall_offset_ = 0;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -38,6 +38,10 @@
 // A job is within its team's guarantee if it fits into it with the team's earlier unfinished jobs.
 void Controller::find_guaranteed() {
   guaranteed_.clear();
+  if (std::none_of(settings_.teams.begin(), settings_.teams.end(),
+                   [](const auto& t) { return t.second.cores > 0 || t.second.gpus > 0; })) {
+    return;
+  }
   std::map<std::string, std::vector<const Job*>> by_team;
   for (const auto& [id, job] : ledger_.jobs()) {
     if (!job.record.withdrawn) by_team[job.record.spec.team].push_back(&job);
@@ -108,8 +112,8 @@
         !may_run(spec, m.last.type, m.last.zone, m.last.spot)) {
       continue;
     }
-    Resources lower, room = free_room(m, &lower);
-    room += lower;
+    Resources room = look(m).free;
+    room += look(m).lower;
     room += being_stopped(m);
     if (room.fits(spec.need)) return true;
   }
@@ -167,53 +171,46 @@
     Time last_answer = base::after(since, settings_.tuning.member_ttl);
     if (at != machines_.end()) last_answer = std::max(last_answer, at->second.answered);
     const bool expired = now > base::after(last_answer, lease);
-    for (const auto& [task, held] : tasks) {
-      if (gone) {
+    if (gone) {
+      for (const auto& [task, held] : tasks)
         ends.push_back({task, machine, "machine released", false});
-        continue;
+      continue;
+    }
+    std::set<TaskId> told;
+    if (at != machines_.end()) {
+      for (const auto& over : look(at->second).over) {
+        ends.push_back({over.task, machine, over.why, over.done});
+        if (expired) told.insert(over.task);
       }
-      if (at != machines_.end()) {
-        const Machine& m = at->second;
-        if (held.session < m.last.session) {
-          ends.push_back({task, machine, "worker began a new session", false});
-          continue;
-        }
-        const auto reported = m.last.tasks.find(task);
-        if (held.session == m.last.session && reported != m.last.tasks.end()) {
-          const auto t = std::find_if(reported->second.begin(), reported->second.end(),
-                                      [&](const auto& r) { return r.attempt == held.attempt; });
-          if (t != reported->second.end() && t->state == TaskState::kEnded) {
-            const Job* job = ledger_.job(task.job);
-            const bool done =
-                t->cause == Cause::kDone && job && job->record.spec.kind != Kind::kService;
-            ends.push_back({task, machine, protocol::to_string(t->cause), done});
-            continue;
-          }
-        }
-        const auto absent = absent_.find(task);
-        if (absent != absent_.end() && absent->second == held.attempt) {
-          ends.push_back({task, machine, "never started", false});
-          continue;
-        }
+    }
+    if (!expired) continue;
+    for (const auto& [task, held] : tasks) {
+      if (!told.contains(task)) {
+        ends.push_back({task, machine, "worker's lease is certainly gone", false});
       }
-      if (expired) ends.push_back({task, machine, "worker's lease is certainly gone", false});
     }
     // The session is over even if the worker's own word for it comes later: old reports of it
     // must not bring its tasks back.
-    if (expired && at != machines_.end()) {
+    if (at != machines_.end()) {
       auto& dead = dead_session_[machine];
       dead = std::max(dead, at->second.last.session);
     }
   }
 }
 
+const protocol::ReportedTask* Controller::reported(const Machine& m, const TaskId& task,
+                                                   const protocol::Held& held) {
+  if (held.session != m.last.session) return nullptr;
+  const auto at = m.last.tasks.find(task);
+  if (at == m.last.tasks.end()) return nullptr;
+  const auto t = std::find_if(at->second.begin(), at->second.end(),
+                              [&](const auto& r) { return r.attempt == held.attempt; });
+  return t == at->second.end() ? nullptr : &*t;
+}
+
 bool Controller::reported_over(const Machine& m, const TaskId& task, const protocol::Held& held) {
-  if (held.session != m.last.session) return false;
-  const auto reported = m.last.tasks.find(task);
-  return reported != m.last.tasks.end() &&
-         std::any_of(reported->second.begin(), reported->second.end(), [&](const auto& r) {
-           return r.attempt == held.attempt && r.state == TaskState::kEnded;
-         });
+  const auto* t = reported(m, task, held);
+  return t && t->state == TaskState::kEnded;
 }
 
 // May this end be recorded later, together with others of its record? Nothing hangs on it before
@@ -345,7 +342,7 @@
       scale.v[i] = std::max(scale.v[i], type->size.v[i]);
     }
     if (m.closed || !fresh(m, now)) continue;
-    bins.push_back({free_room(m, nullptr)});
+    bins.push_back({look(m).free});
     at_bin.push_back(&m);
   }
 
@@ -596,7 +593,7 @@
         }
         std::sort(candidates.begin(), candidates.end(),
                   [](const Victim& a, const Victim& b) { return a.lost < b.lost; });
-        Resources room = free_room(m, nullptr);
+        Resources room = look(m).free;
         room += being_stopped(m);
         room -= taken[id];
         double lost = 0, excess = over;
@@ -699,11 +696,10 @@
   std::erase_if(stop_sent_,
                 [&](const auto& s) { return base::between(s.second, now) > kStopRepeat; });
   for (const auto& [id, m] : machines_) {
-    if (!fresh(m, now)) continue;
+    if (!look(m).stops || !fresh(m, now)) continue;
     Order o{id, m.last.address, m.token, m.last.session, {}};
-    for (const Command& c : reconcile(m)) {
-      if (c.op == Command::Op::kKill &&
-          stop_sent_.try_emplace({c.task, c.attempt.get()}, now).second) {
+    for (const Command& c : stops_for(m)) {
+      if (stop_sent_.try_emplace({c.task, c.attempt.get()}, now).second) {
         o.commands.push_back(c);
       }
     }
@@ -720,11 +716,7 @@
   std::set<MachineId> mute;
   std::size_t owned = machines_.size();
   for (auto& [id, m] : machines_) {
-    bool active = !ledger_.held_by(id).empty();
-    for (const auto& [task, attempts] : m.last.tasks) {
-      for (const auto& t : attempts) active = active || t.state != TaskState::kEnded;
-    }
-    m.give_back = m.closed && !active;
+    m.give_back = m.closed && ledger_.held_by(id).empty() && !look(m).active;
     if (m.draining && fresh(m, now)) {
       const auto known = parts(now, kRoomToMove);
       // One service at a time, and none that a user would still count as just started.
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -2,6 +2,8 @@
 // room; what is still waiting after a while is offered anew, to another part if one has room.
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <tuple>
 
 #include "base/log.h"
 #include "coordination/controller.h"
@@ -13,63 +15,81 @@
 constexpr Seconds kFirstOffers{0.6};  // made by the node that accepted the job, then by its home
 constexpr Seconds kRoomFresh{4.0};    // a sibling's room is relied on for this long
 
+// A machine of a part, less what was offered to it here.
+struct Place {
+  const MachineRoom* machine;
+  Resources free, lower;
+};
+
+// What a part could do for one job.
+struct Chances {
+  std::size_t room = 0;        // tasks that fit
+  bool has = false;            // ... where the image is
+  bool near = false;           // ... where a controller is
+  bool has_near = false;       // ... both
+  bool displaces = false;      // one fits if lower work were stopped
+  bool displaces_has = false;  // ... where the image is
+};
+
 struct Part {
   MemberId member;
-  std::vector<MachineRoom> machines;
+  std::vector<Place> places;
 
-  std::size_t room_for(const protocol::JobSpec& spec) const {
-    return room_if(spec, [](const MachineRoom&) { return true; });
-  }
-
-  template <class F>
-  std::size_t room_if(const protocol::JobSpec& spec, F wanted) const {
-    std::size_t n = 0;
-    for (const MachineRoom& m : machines) {
-      if (!wanted(m)) continue;
+  Chances chances(const protocol::JobSpec& spec, const std::set<std::string>& near_zones) const {
+    Chances c;
+    for (const Place& p : places) {
+      const MachineRoom& m = *p.machine;
       if (!m.open || !may_run(spec, m.type, m.zone, m.spot)) continue;
       double fits = 1e9;
-      for (std::size_t i = 0; i < m.free.v.size(); ++i) {
-        if (spec.need.v[i] > 0) fits = std::min(fits, m.free.v[i] / spec.need.v[i] + 1e-9);
+      for (std::size_t i = 0; i < p.free.v.size(); ++i) {
+        if (spec.need.v[i] > 0) fits = std::min(fits, p.free.v[i] / spec.need.v[i] + 1e-9);
+      }
+      const auto n = static_cast<std::size_t>(std::max(0.0, std::floor(fits)));
+      const bool has = (n > 0 || !c.displaces_has) && m.has_image(spec.image);
+      if (n > 0) {
+        const bool near = near_zones.contains(m.zone);
+        c.room += n;
+        c.has = c.has || has;
+        c.near = c.near || near;
+        c.has_near = c.has_near || (has && near);
+      }
+      if (!c.displaces || (has && !c.displaces_has)) {
+        Resources r = p.free;
+        r += p.lower;
+        if (r.fits(spec.need)) {
+          c.displaces = true;
+          c.displaces_has = c.displaces_has || has;
+        }
       }
-      n += static_cast<std::size_t>(std::max(0.0, std::floor(fits)));
     }
-    return n;
+    return c;
   }
 
   double free_cores() const {
     double n = 0;
-    for (const MachineRoom& m : machines) n += m.open ? m.free.cores() : 0;
+    for (const Place& p : places) n += p.machine->open ? p.free.cores() : 0;
     return n;
   }
 
-  // Could one task be placed if lower ranks were stopped?
-  bool could_displace(const protocol::JobSpec& spec, bool with_image = false) const {
-    return std::any_of(machines.begin(), machines.end(), [&](const MachineRoom& m) {
-      if (with_image && !m.has_image(spec.image)) {
-        return false;
-      }
-      Resources r = m.free;
-      r += m.lower;
-      return m.open && may_run(spec, m.type, m.zone, m.spot) && r.fits(spec.need);
-    });
-  }
-
   void take(const protocol::JobSpec& spec, std::size_t n) {
-    for (MachineRoom& m : machines) {
-      if (!m.open || !may_run(spec, m.type, m.zone, m.spot)) continue;
-      while (n > 0 && m.free.fits(spec.need)) {
-        m.free -= spec.need;
+    for (Place& p : places) {
+      if (n == 0) return;
+      const MachineRoom& m = *p.machine;
+      if (!m.open || !p.free.fits(spec.need) || !may_run(spec, m.type, m.zone, m.spot)) continue;
+      while (n > 0 && p.free.fits(spec.need)) {
+        p.free -= spec.need;
         --n;
       }
     }
   }
 
   void displace(const protocol::JobSpec& spec) {
-    for (MachineRoom& m : machines) {
-      Resources r = m.free;
-      r += m.lower;
-      if (!m.open || !may_run(spec, m.type, m.zone, m.spot) || !r.fits(spec.need)) continue;
-      m.lower -= spec.need;
+    for (Place& p : places) {
+      const MachineRoom& m = *p.machine;
+      Resources r = p.free;
+      r += p.lower;
+      if (!m.open || !r.fits(spec.need) || !may_run(spec, m.type, m.zone, m.spot)) continue;
+      p.lower -= spec.need;
       return;
     }
   }
@@ -105,6 +125,7 @@
   std::erase_if(offered_, [&](const auto& o) { return base::between(o.second, now) > patience; });
 
   find_guaranteed();
+  std::erase_if(displacing_, [&](const auto& d) { return !ledger_.job(d.first); });
   std::erase_if(accepted_, [&](const JobId& id) { return !ledger_.job(id); });
   std::vector<const Job*> jobs;
   for (const auto& [id, job] : ledger_.jobs()) {
@@ -116,26 +137,46 @@
   }
   if (jobs.empty()) return out;
   // Urgent ones see the free room first; among equals what is due first.
-  std::stable_sort(jobs.begin(), jobs.end(), [&](const Job* a, const Job* b) {
-    const int ta = tier_of(*a), tb = tier_of(*b);
-    if (ta != tb) return ta < tb;
-    const double da = due(*a, now), db = due(*b, now);
-    return da != db ? da < db : a->record.submitted < b->record.submitted;
-  });
+  struct Turn {
+    int tier;
+    double due, submitted;
+    const Job* job;
+    bool operator<(const Turn& o) const {
+      return std::tie(tier, due, submitted) < std::tie(o.tier, o.due, o.submitted);
+    }
+  };
+  std::vector<Turn> turns;
+  for (const Job* job : jobs) {
+    turns.push_back({tier_of(*job), due(*job, now), job->record.submitted, job});
+  }
+  std::stable_sort(turns.begin(), turns.end());
 
+  const auto known = parts(now, kRoomFresh);
   std::vector<Part> all;
-  for (auto& [member, machines] : parts(now, kRoomFresh))
-    all.push_back({member, std::move(machines)});
-  for (const Job* job : jobs) {
+  for (const auto& [member, machines] : known) {
+    Part part{member, {}};
+    for (const MachineRoom& m : machines) part.places.push_back({&m, m.free, m.lower});
+    all.push_back(std::move(part));
+  }
+  std::vector<Chances> chances(all.size());
+  for (const Turn& turn : turns) {
+    const Job* job = turn.job;
     const auto& spec = job->record.spec;
-    std::vector<TaskNo> waiting;
     std::size_t room = 0;
-    std::vector<std::size_t> room_in(all.size());
-    for (std::size_t p = 0; p < all.size(); ++p) room += room_in[p] = all[p].room_for(spec);
+    const auto look_again = [&](std::size_t p) {
+      room -= chances[p].room;
+      chances[p] = all[p].chances(spec, settings_.controller_zones);
+      room += chances[p].room;
+    };
+    for (std::size_t p = 0; p < all.size(); ++p) {
+      chances[p] = {};
+      look_again(p);
+    }
     const bool gang = spec.kind == protocol::Kind::kGang;
     // A gang starts only if all its tasks find room in one round.
     if (gang && room < job->pending()) continue;
     const std::size_t most = std::max<std::size_t>(room, 8);
+    std::vector<TaskNo> waiting;
     for (std::size_t c = 0; c < job->chunks.size() && waiting.size() < most; ++c) {
       const auto& record = job->chunks[c].record;
       const TaskNo first = job->chunk_first(c);
@@ -158,37 +199,47 @@
     const bool hurries = spec.rank <= protocol::Rank::kUrgent && start_within(spec).has_value();
     if (gang && waiting.size() < job->pending()) continue;
     if (room > 0 && spec.kind != protocol::Kind::kService && !spec.one_zone) {
-      // Arrays are split by free room.
+      // Arrays are split by free room; a record's tasks stay together as far as that goes, so that
+      // parts seldom write the same one.
       const std::size_t n = std::min(waiting.size(), room);
-      for (std::size_t p = 0; p < all.size() && next < n; ++p) {
-        std::size_t share = static_cast<std::size_t>(std::ceil(
-            static_cast<double>(n) * static_cast<double>(room_in[p]) / static_cast<double>(room)));
-        share = std::min({share, room_in[p], n - next});
-        if (share == 0) continue;
-        offer(p, next, share);
-        all[p].take(spec, share);
+      std::vector<double> quota(all.size());
+      for (std::size_t p = 0; p < all.size(); ++p) {
+        quota[p] = static_cast<double>(n) * static_cast<double>(chances[p].room) /
+                   static_cast<double>(room);
+      }
+      std::vector<std::size_t> left(all.size());
+      for (std::size_t p = 0; p < all.size(); ++p) left[p] = chances[p].room;
+      while (next < n) {
+        std::size_t run = 1;  // waiting tasks of one record
+        while (next + run < n &&
+               job->record.chunk_of(waiting[next + run]) == job->record.chunk_of(waiting[next])) {
+          ++run;
+        }
+        std::size_t best = all.size();
+        for (std::size_t p = 0; p < all.size(); ++p) {
+          if (left[p] > 0 && (best == all.size() || quota[p] > quota[best])) best = p;
+        }
+        if (best == all.size()) break;
+        const std::size_t share = std::min(run, left[best]);
+        offer(best, next, share);
+        all[best].take(spec, share);
+        left[best] -= share;
+        quota[best] -= static_cast<double>(share);
         next += share;
       }
+      for (std::size_t p = 0; p < all.size(); ++p) look_again(p);
     } else {
       // Others go to the roomiest part that fits them.
       while (next < waiting.size()) {
         std::size_t best = all.size();
         int best_rank = 0;
         for (std::size_t p = 0; p < all.size(); ++p) {
-          const bool displaces = hurries && all[p].could_displace(spec, true);
-          if (all[p].room_for(spec) == 0 && !displaces) continue;
+          const Chances& c = chances[p];
+          const bool displaces = hurries && c.displaces_has;
+          if (c.room == 0 && !displaces) continue;
           // A part where the image is already beats a roomier one where it must be fetched, and
           // so does one with room where controllers are.
-          const auto has = [&](const MachineRoom& m) { return m.has_image(spec.image); };
-          const auto near = [&](const MachineRoom& m) {
-            return settings_.controller_zones.contains(m.zone);
-          };
-          const int rank =
-              all[p].room_if(spec, [&](const auto& m) { return has(m) && near(m); }) > 0 ? 4
-              : all[p].room_if(spec, has) > 0                                            ? 3
-              : displaces                                                                ? 2
-              : all[p].room_if(spec, near) > 0                                           ? 1
-                                                                                         : 0;
+          const int rank = c.has_near ? 4 : c.has ? 3 : displaces ? 2 : c.near ? 1 : 0;
           if (best == all.size() || rank > best_rank ||
               (rank == best_rank && all[p].free_cores() > all[best].free_cores())) {
             best = p;
@@ -196,26 +247,31 @@
           }
         }
         if (best == all.size()) break;
-        const std::size_t n = spec.one_zone ? std::clamp<std::size_t>(all[best].room_for(spec), 1,
-                                                                      waiting.size() - next)
-                                            : 1;
+        const std::size_t n =
+            spec.one_zone ? std::clamp<std::size_t>(chances[best].room, 1, waiting.size() - next)
+                          : 1;
         offer(best, next, n);
-        if (all[best].room_for(spec) > 0) {
+        if (chances[best].room > 0) {
           all[best].take(spec, n);
         } else {
           all[best].displace(spec);
         }
+        look_again(best);
         next += n;
       }
     }
     // Without room anywhere, what may displace other work goes where that can be done.
-    if (!gang && (tier_of(*job) <= 3 || tier_of(*job) % 2 == 0)) {
+    if (!gang && (turn.tier <= 3 || turn.tier % 2 == 0)) {
       while (next < waiting.size()) {
-        const auto p = std::find_if(all.begin(), all.end(),
-                                    [&](const Part& part) { return part.could_displace(spec); });
-        if (p == all.end()) break;
-        offer(static_cast<std::size_t>(p - all.begin()), next, 1);
-        p->displace(spec);
+        // Each time another part: what can give way there may be of a team that need not.
+        const std::size_t from = ++displacing_[spec.id];
+        std::size_t i = 0;
+        while (i < all.size() && !chances[(from + i) % all.size()].displaces) ++i;
+        if (i == all.size()) break;
+        const std::size_t p = (from + i) % all.size();
+        offer(p, next, 1);
+        all[p].displace(spec);
+        look_again(p);
         ++next;
       }
     }
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -17,10 +17,12 @@
 
 using base::Seconds;
 
-constexpr Seconds kUserCall{1.2};  // users wait 2 s for a status
+constexpr Seconds kUserCall{1.2};   // users wait 2 s for a status
+constexpr Seconds kProofGap{0.04};  // between two looks at the store's changes for polls
 constexpr Seconds kStateCall{1.5};
 constexpr Seconds kShortPause{0.2};
 constexpr Seconds kLeastGap{0.03};   // between two rounds: what comes in a burst shares one
+constexpr double kRoundShare = 6;    // a round waits so many times as long as its decisions take
 constexpr double kUrgentDebt = 0.4;  // seconds' worth of writes that urgent work may run ahead
 constexpr double kPlenty = 0.6;      // seconds' worth saved up: records that could wait go too
 constexpr std::size_t kMostOrders = 512;
@@ -60,9 +62,11 @@
     : settings_(std::move(settings)),
       state_(settings_.state),
       cloud_(settings_.cloud),
+      workers_(static_cast<std::size_t>(std::max(4, settings_.sockets / 8))),
       controller_(settings_),
       users_(settings_, mutex_, controller_,
-             {[this](const std::string& key) { return state_.get(key, kUserCall); },
+             {[this] { return prove_current(); },
+              [this](const std::string& key) { return state_.get(key, kUserCall); },
               [this](const Transaction& txn) { return state_.commit(txn, kStateCall); },
               [this] { round_bell_.ring(); }}) {
   for (const base::Sibling& s : settings_.siblings) {
@@ -74,7 +78,7 @@
 
 void Node::start() {
   const int most = settings_.tuning.max_connections > 0 ? settings_.tuning.max_connections
-                                                        : settings_.sockets * 6 / 10;
+                                                        : settings_.sockets * 3 / 4;
   server_ = std::make_unique<transport::HttpServer>(settings_.listen, most,
                                                     [this](const Request& r) { return serve(r); });
   peer_server_ = std::make_unique<transport::HttpServer>(
@@ -115,7 +119,7 @@
     if (is_withdrawal) {
       return req.method == "POST" ? users_.withdraw(JobId(id), now()) : wrong_method();
     }
-    return req.method == "GET" ? users_.status(JobId(id), now()) : wrong_method();
+    return req.method == "GET" ? users_.status(JobId(id)) : wrong_method();
   }
   return error(404, "no such path");
 }
@@ -357,24 +361,72 @@
       pause(kShortPause);
       continue;
     }
-    bool members = false, changed = false;
-    locked([&](coordination::Controller& c) {
-      for (const auto& e : w.events) {
-        if (!c.ledger().apply(e, now())) continue;
-        changed = true;
-        members = members || e.key == protocol::kViewKey || e.key == protocol::kLeadKey ||
-                  e.key.starts_with(protocol::kMembers) || e.key.starts_with(protocol::kClaims);
+    take_in(w);
+  }
+}
+
+bool Node::prove_current() {
+  std::unique_lock lock(proof_mutex_);
+  const std::uint64_t mine =
+      proofs_begun_ + 1;  // what has begun already may miss what is asked for
+  const Time deadline = base::after(now(), kUserCall);
+  while (proofs_done_ < mine) {
+    if (proving_) {
+      if (proved_.wait_until(lock, deadline) == std::cv_status::timeout && proofs_done_ < mine) {
+        return false;
       }
-      c.ledger().caught_up(w.revision);
-      c.follow(now());
-    });
-    if (!loaded_) {
-      loaded_ = true;
-      members = true;
+      continue;
+    }
+    proving_ = true;
+    // Under load the polls of a moment share a look.
+    const Seconds gap = kProofGap - base::between(proof_at_, now());
+    if (gap.count() > 0) {
+      lock.unlock();
+      pause(gap);
+      lock.lock();
     }
-    if (members) beat_bell_.ring();
-    if (changed) round_bell_.ring();
+    const std::uint64_t n = ++proofs_begun_;
+    proof_at_ = now();
+    lock.unlock();
+    const bool held = catch_up();
+    lock.lock();
+    proof_held_ = held;
+    proofs_done_ = n;
+    proving_ = false;
+    proved_.notify_all();
+  }
+  return proof_held_;
+}
+
+bool Node::catch_up() {
+  if (!loaded_) return false;
+  const auto after = locked([](auto& c) { return c.ledger().revision(); });
+  const auto w = state_.changes(protocol::kAll, after, kUserCall);
+  if (w.what != StateClient::Watched::What::kEvents) return false;
+  take_in(w);
+  return true;
+}
+
+void Node::take_in(const StateClient::Watched& w) {
+  bool members = false, changed = false;
+  locked([&](coordination::Controller& c) {
+    // A copy that was begun anew meanwhile is not brought up to date by what came after the old.
+    if (w.after > c.ledger().revision()) return;
+    for (const auto& e : w.events) {
+      if (!c.ledger().apply(e, now())) continue;
+      changed = true;
+      members = members || e.key == protocol::kViewKey || e.key == protocol::kLeadKey ||
+                e.key.starts_with(protocol::kMembers) || e.key.starts_with(protocol::kClaims);
+    }
+    c.ledger().caught_up(w.revision);
+    c.follow(now());
+  });
+  if (!loaded_) {
+    loaded_ = true;
+    members = true;
   }
+  if (members) beat_bell_.ring();
+  if (changed) round_bell_.ring();
 }
 
 void Node::refresh(const std::vector<std::string>& keys) {
@@ -435,7 +487,9 @@
 void Node::rounds() {
   for (;;) {
     round_bell_.wait(settings_.tuning.round_period);
-    pause(kLeastGap);
+    // What comes in a burst shares a round. The longer its decisions take, the fewer are made, and
+    // the more each of them takes in.
+    pause(std::clamp(deciding_ * kRoundShare, kLeastGap, settings_.tuning.round_period * 0.4));
     if (!loaded_) continue;
     one_round();
   }
@@ -444,6 +498,7 @@
 void Node::one_round() {
   for (int i = 0; i < 6; ++i) {
     const auto pace = await_writes();
+    const Time began = now();
     auto routed = locked([](coordination::Controller& c) {
       c.follow(now());
       auto out = c.route(now());
@@ -464,6 +519,7 @@
       s->bell.ring();
     }
     const auto plan = locked([&](auto& c) { return c.plan(now(), pace); });
+    deciding_ = deciding_ * 0.7 + base::between(began, now()) * 0.3;
     std::vector<coordination::Order> orders;
     const bool went = !plan.empty() && commit_plan(plan, orders);
     auto stops = locked([](auto& c) { return c.stops(now()); });
--- a/src/node.h
+++ b/src/node.h
@@ -103,6 +103,17 @@
   std::atomic<bool> loaded_{false};
   std::atomic<bool> was_ready_{false};
 
+  // One look at the store's changes serves all polls that came before it began: it proves this
+  // process's copy current, or makes it so.
+  bool prove_current();
+  bool catch_up();
+  void take_in(const protocol::StateClient::Watched& w);
+  std::mutex proof_mutex_;
+  std::condition_variable proved_;
+  std::uint64_t proofs_begun_ = 0, proofs_done_ = 0;
+  bool proving_ = false, proof_held_ = false;
+  Time proof_at_{};
+
   Bell beat_bell_, round_bell_, fleet_bell_;
   std::vector<std::unique_ptr<Sibling>> siblings_;
 
@@ -110,6 +121,7 @@
   std::condition_variable orders_ready_;
   std::deque<coordination::Order> orders_;
 
+  Seconds deciding_{0};  // how long a round's decisions take, on average
   double write_credit_ = 0;
   Time write_credit_at_{};
   std::uint64_t hires_ = 0;
--- a/src/protocol/clients.cpp
+++ b/src/protocol/clients.cpp
@@ -1,7 +1,6 @@
 #include "protocol/clients.h"
 
 #include <algorithm>
-#include <set>
 
 #include "base/log.h"
 
@@ -148,12 +147,29 @@
   renewals_.del("/leases/" + std::to_string(lease.get()), timeout);
 }
 
+namespace {
+
+std::string changes_path(const std::string& prefix, Revision after, Seconds wait) {
+  return "/changes?starts=" + prefix + "&after=" + std::to_string(after.get()) +
+         "&block_ms=" + std::to_string(static_cast<long>(wait.count() * 1000));
+}
+
+}  // namespace
+
 StateClient::Watched StateClient::watch(const std::string& prefix, Revision after, Seconds wait) {
-  const Answer a =
-      watches_.get("/changes?starts=" + prefix + "&after=" + std::to_string(after.get()) +
-                       "&block_ms=" + std::to_string(static_cast<long>(wait.count() * 1000)),
-                   wait + Seconds(3.0), kMaxAnswer);
+  return parse_changes(
+      watches_.get(changes_path(prefix, after, wait), wait + Seconds(3.0), kMaxAnswer), after);
+}
+
+StateClient::Watched StateClient::changes(const std::string& prefix, Revision after,
+                                          Seconds timeout) {
+  return parse_changes(http_.get(changes_path(prefix, after, Seconds(0)), timeout, kMaxAnswer),
+                       after);
+}
+
+StateClient::Watched StateClient::parse_changes(const Answer& a, Revision after) {
   Watched w;
+  w.after = after;
   if (a.sent != Sent::kYes) return w;
   if (a.status == 410) {
     w.what = Watched::What::kTooOld;
@@ -258,24 +274,32 @@
   }
 }
 
-WorkerClient::Answered WorkerClient::order(const std::string& address, Token token, Session session,
-                                           const std::vector<Command>& commands, Seconds timeout) {
-  std::shared_ptr<transport::HttpClient> http;
-  {
-    const std::lock_guard lock(mutex_);
-    auto& slot = http_[address];
-    if (!slot) {
-      try {
-        slot = std::make_shared<transport::HttpClient>(
-            base::parse_address(address, "a worker's endpoint"), 1);
-      } catch (const base::BadSettings& e) {
-        http_.erase(address);
-        spdlog::warn("{}", e.what());
-        return {};
-      }
+std::shared_ptr<transport::HttpClient> WorkerClient::connection(const std::string& address) {
+  const std::lock_guard lock(mutex_);
+  auto at = http_.find(address);
+  if (at == http_.end()) {
+    if (http_.size() >= most_) {
+      http_.erase(std::min_element(http_.begin(), http_.end(), [](const auto& x, const auto& y) {
+        return x.second.used < y.second.used;
+      }));
+    }
+    try {
+      auto http = std::make_shared<transport::HttpClient>(
+          base::parse_address(address, "a worker's endpoint"), 1);
+      at = http_.emplace(address, Slot{std::move(http), 0}).first;
+    } catch (const base::BadSettings& e) {
+      spdlog::warn("{}", e.what());
+      return nullptr;
     }
-    http = slot;
   }
+  at->second.used = ++uses_;
+  return at->second.http;
+}
+
+WorkerClient::Answered WorkerClient::order(const std::string& address, Token token, Session session,
+                                           const std::vector<Command>& commands, Seconds timeout) {
+  const auto http = connection(address);
+  if (!http) return {};
   const Answer a = http->post("/orders", orders(token, session, commands), timeout);
   Answered out;
   out.sent = a.sent;
@@ -285,10 +309,4 @@
   return out;
 }
 
-void WorkerClient::keep_only(const std::vector<std::string>& addresses) {
-  const std::set<std::string> keep(addresses.begin(), addresses.end());
-  const std::lock_guard lock(mutex_);
-  std::erase_if(http_, [&keep](const auto& e) { return !keep.contains(e.first); });
-}
-
 }  // namespace saddleslip::protocol
--- a/src/protocol/clients.h
+++ b/src/protocol/clients.h
@@ -52,10 +52,15 @@
     enum class What { kEvents, kTooOld, kNothing } what = What::kNothing;
     Revision revision;
     std::vector<Item> events;
+    Revision after;  // what was asked for: changes after this
   };
   Watched watch(const std::string& prefix, Revision after, Seconds wait);
+  // The same without a wait, on the connections of other calls: all that has changed by now.
+  Watched changes(const std::string& prefix, Revision after, Seconds timeout);
 
  private:
+  static Watched parse_changes(const transport::Answer& a, Revision after);
+
   transport::HttpClient http_;
   transport::HttpClient renewals_;  // of its own, so that no queue delays a renewal
   transport::HttpClient watches_;
@@ -90,12 +95,21 @@
   };
   Answered order(const std::string& address, Token token, Session session,
                  const std::vector<Command>& commands, Seconds timeout);
-  // Drops the connections to workers that are not named.
-  void keep_only(const std::vector<std::string>& addresses);
+  explicit WorkerClient(std::size_t most_connections) : most_(most_connections) {}
 
  private:
+  struct Slot {
+    std::shared_ptr<transport::HttpClient> http;
+    std::uint64_t used = 0;
+  };
+  // Thousands of workers, and sockets for some of them: the connection that was not used for the
+  // longest gives way.
+  std::shared_ptr<transport::HttpClient> connection(const std::string& address);
+
+  const std::size_t most_;
   std::mutex mutex_;
-  std::map<std::string, std::shared_ptr<transport::HttpClient>> http_;
+  std::uint64_t uses_ = 0;
+  std::map<std::string, Slot> http_;
 };
 
 }  // namespace saddleslip::protocol
--- a/src/users.cpp
+++ b/src/users.cpp
@@ -29,34 +29,28 @@
 
 }  // namespace
 
-Users::Known Users::look_up(const JobId& id, Time now, Reply& reply) {
+Users::Known Users::look_up(const JobId& id, Reply& reply) {
+  const auto known_here = [&](coordination::Controller& c) -> std::optional<Reply> {
+    if (const auto f = c.ledger().final_state(id)) return known_final(id, *f);
+    const auto* job = c.ledger().job(id);
+    if (!job) return {};
+    if (job->record.withdrawn) return known_final(id, protocol::JobStatus::kWithdrawn);
+    const auto status =
+        job->held > 0 ? protocol::JobStatus::kRunning : protocol::JobStatus::kQueued;
+    return Reply{200, protocol::user_status(id, status, job->done, job->held), 0};
+  };
   const auto cached =
       locked([&](coordination::Controller& c) { return c.ledger().final_state(id); });
   if (cached) {
     reply = known_final(id, *cached);
     return Known::kYes;
   }
-  // Another node may have told more than this one has heard of: the store decides. A live record
-  // only ever becomes a final one, so reading them in this order misses neither.
-  const auto live = store_.get(protocol::job_key(id));
-  if (!live.answered) return Known::kCantTell;
-  if (live.item.version.get() != 0) {
-    const auto record = protocol::parse_job(live.item.value);
-    if (!record) return Known::kCantTell;
-    if (record->withdrawn) {
-      reply = known_final(id, protocol::JobStatus::kWithdrawn);
-      return Known::kYes;
-    }
-    const auto [done, held] = locked([&](coordination::Controller& c) {
-      c.ledger().apply(live.item, now);
-      const auto* job = c.ledger().job(id);
-      return job ? std::pair(job->done, job->held) : std::pair(0u, 0u);
-    });
-    reply = {200,
-             protocol::user_status(
-                 id, held > 0 ? protocol::JobStatus::kRunning : protocol::JobStatus::kQueued, done,
-                 held),
-             0};
+  // Another node may have told more than this one has heard of: what is not final is told only from
+  // a copy that was proved current after the question came. A live record only ever becomes a final
+  // one, so what that copy lacks is final, and read from the store, or was never accepted.
+  if (!store_.current()) return Known::kCantTell;
+  if (auto here = locked(known_here)) {
+    reply = std::move(*here);
     return Known::kYes;
   }
   const auto over = store_.get(protocol::final_key(id));
@@ -77,7 +71,7 @@
     const Json root = Json::parse(body, nullptr, false);
     if (root.is_object() && root.contains("name_id") && root.at("name_id").is_string() &&
         protocol::valid_job_id(root.at("name_id").get<std::string>())) {
-      const auto known = look_up(JobId(root.at("name_id").get<std::string>()), now, reply);
+      const auto known = look_up(JobId(root.at("name_id").get<std::string>()), reply);
       if (known == Known::kYes) return reply;
       if (known == Known::kCantTell) return try_later("the state service does not answer");
     }
@@ -94,7 +88,7 @@
                 coordination::never_runs(spec, settings_, ledger.catalogue())};
   });
   if (v.known || v.undecided || v.never) {
-    const auto known = look_up(spec.id, now, reply);
+    const auto known = look_up(spec.id, reply);
     if (known == Known::kYes) return reply;
     if (known == Known::kCantTell) return try_later("the state service does not answer");
     if (v.undecided) return try_later("the machine types are not known yet");
@@ -116,14 +110,14 @@
       return try_later("the state service is over its limit or out of service");
     default:
       // Taken before, or perhaps just now.
-      if (look_up(spec.id, now, reply) == Known::kYes) return reply;
+      if (look_up(spec.id, reply) == Known::kYes) return reply;
       return try_later("the state service did not answer");
   }
 }
 
-Reply Users::status(const JobId& id, Time now) {
+Reply Users::status(const JobId& id) {
   Reply reply;
-  switch (look_up(id, now, reply)) {
+  switch (look_up(id, reply)) {
     case Known::kYes:
       return reply;
     case Known::kNo:
@@ -138,11 +132,11 @@
     if (const auto f = locked([&](auto& c) { return c.ledger().final_state(id); })) {
       return known_final(id, *f);
     }
-    const auto live = store_.get(protocol::job_key(id));
+    auto live = store_.get(protocol::job_key(id));
     if (!live.answered) break;
     if (live.item.version.get() == 0) {
       Reply reply;
-      const auto known = look_up(id, now, reply);
+      const auto known = look_up(id, reply);
       if (known == Known::kYes) return reply;
       if (known == Known::kNo) return error(404, "no such job");
       break;
--- a/src/users.h
+++ b/src/users.h
@@ -15,6 +15,8 @@
 class Users {
  public:
   struct Store {
+    // Brings the local copy up to the store's state at a moment after the call; false: could not.
+    std::function<bool()> current;
     std::function<protocol::StateClient::Got(const std::string& key)> get;
     std::function<protocol::StateClient::Committed(const protocol::Transaction& txn)> commit;
     std::function<void()> changed;  // something was accepted or withdrawn: a round is due
@@ -24,13 +26,13 @@
       : settings_(settings), mutex_(mutex), controller_(controller), store_(std::move(store)) {}
 
   transport::Reply submit(const std::string& body, base::Time now);
-  transport::Reply status(const base::JobId& id, base::Time now);
+  transport::Reply status(const base::JobId& id);
   transport::Reply withdraw(const base::JobId& id, base::Time now);
 
  private:
   // The state of a job, not older than anything that any node has told; kNo: never accepted.
   enum class Known { kYes, kNo, kCantTell };
-  Known look_up(const base::JobId& id, base::Time now, transport::Reply& reply);
+  Known look_up(const base::JobId& id, transport::Reply& reply);
 
   template <class F>
   auto locked(F f) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -352,7 +352,8 @@
   node.controller = std::make_unique<coordination::Controller>(node.settings);
   node.users = std::make_unique<Users>(
       node.settings, *node.mutex, *node.controller,
-      Users::Store{[this, n](const std::string& key) { return get(n, key); },
+      Users::Store{[this, n] { return catch_up(n); },
+                   [this, n](const std::string& key) { return get(n, key); },
                    [this, n](const protocol::Transaction& txn) { return commit(n, txn); },
                    [this, n] { nodes_[n].rung = true; }});
   node.up = true;
@@ -373,6 +374,27 @@
   nodes_[n].loaded = true;
 }
 
+void World::take_in(std::size_t n, double lag) {
+  NodeSim& node = nodes_[n];
+  auto& ledger = node.controller->ledger();
+  std::uint64_t upto = ledger.revision().get();
+  for (const Change& change : changes_) {
+    if (change.revision <= ledger.revision().get() || change.at + lag > t_) continue;
+    if (ledger.apply(change.item, now())) node.rung = true;
+    if (change.item.key == protocol::kViewKey || change.item.key == protocol::kLeadKey)
+      node.beat_now = true;
+    upto = std::max(upto, change.revision);
+  }
+  ledger.caught_up(base::Revision(upto));
+  node.controller->follow(now());
+}
+
+bool World::catch_up(std::size_t n) {
+  if (!nodes_[n].loaded || !state_reachable(n)) return false;
+  take_in(n, 0);
+  return true;
+}
+
 void World::refresh(std::size_t n, const std::vector<std::string>& keys) {
   for (const auto& key : keys) {
     if (key.compare(0, protocol::kJobs.size(), protocol::kJobs) != 0 &&
@@ -551,16 +573,7 @@
   auto& c = *node.controller;
   if (state_reachable(n)) {
     const double lag = watch_lag_.contains(n) ? watch_lag_[n] : 0;
-    std::uint64_t upto = c.ledger().revision().get();
-    for (const Change& change : changes_) {
-      if (change.revision <= c.ledger().revision().get() || change.at + lag > t_) continue;
-      if (c.ledger().apply(change.item, now())) node.rung = true;
-      if (change.item.key == protocol::kViewKey || change.item.key == protocol::kLeadKey)
-        node.beat_now = true;
-      upto = std::max(upto, change.revision);
-    }
-    c.ledger().caught_up(base::Revision(upto));
-    c.follow(now());
+    take_in(n, lag);
   }
   if (t_ >= node.next_beat || node.beat_now) beat(n);
   if (t_ >= node.next_tell) {
@@ -600,7 +613,7 @@
         const auto r = nodes_[n].users->withdraw(id, now());
         if (r.status == 200) job.withdrawn_at = t_;
       }
-      const auto r = nodes_[n].users->status(id, now());
+      const auto r = nodes_[n].users->status(id);
       if (r.status == 404) broken("forgotten: " + id.get());
       if (r.status != 200) continue;
       const std::string status = Json::parse(r.body)["status"];
@@ -615,7 +628,7 @@
   }
   for (std::size_t n = 0; n < nodes_.size(); ++n) {
     if (!nodes_[n].up || !nodes_[n].loaded) continue;
-    if (nodes_[n].users->status(JobId("run-999999"), now()).status == 200)
+    if (nodes_[n].users->status(JobId("run-999999")).status == 200)
       broken("invented: run-999999");
   }
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -112,6 +112,8 @@
   void step_node(std::size_t n);
   void beat(std::size_t n);
   void load(std::size_t n);
+  void take_in(std::size_t n, double lag);
+  bool catch_up(std::size_t n);
   void round(std::size_t n);
   void fleet(std::size_t n);
   void refresh(std::size_t n, const std::vector<std::string>& keys);
