Machines count only once they show that they hear their owner

A machine whose reports arrive while no answer reaches it looked like an empty, well machine after each of its leases; late copies of reports counted as life; a deaf machine's knocks at all nodes handed it from owner to owner without end.

Change: an owner places nothing on a machine before it has shown a token of this owner's, after a new session again; the token changes with an answer every half lease; two reports in a row without the token answered before mark it deaf: not placed on, not well, returned if that lasts (held back when many are). A machine that was handed over stays for 60 s. The scenario runner learns deaf machines, late copies of reports, quick reboots, and checks in every scenario that each job's questions are answered within 75 s of the troubles' end.

--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -47,8 +47,16 @@
   std::optional<Time> taken_at;  // when the cloud's notice says that the machine goes
   // Tokens. A direct order is given under a token of its own; the next answer carries a higher one.
   // Once the worker has shown that, no copy of the order can be carried out any more.
-  Token token;             // for the next answer or order
-  Token floor;             // what the worker must have shown for "fenced"
+  Token token;  // for the next answer or order
+  Token floor;  // what the worker must have shown for "fenced"
+  // A report that shows this was sent after this owner's answer reached the machine. Before that
+  // nothing tells a machine that hears from a late copy of its reports, or from one whose reports
+  // arrive while no answer reaches it.
+  Token confirm;
+  Time token_since{};    // when the present token was first given in an answer
+  Token answered_token;  // the one of the latest answer
+  int lost_answers = 0;  // reports in a row that did not show what was answered before
+  std::optional<Time> deaf_since;
   bool closed = false;     // takes no new tasks
   bool draining = false;   // its services are being moved elsewhere
   bool give_back = false;  // its release was asked for
@@ -78,6 +86,10 @@
     }
   }
   bool fenced() const { return last.token >= floor; }
+  // Has it heard this owner, in this session of its own?
+  bool confirmed() const { return last.token >= confirm; }
+  // One answer may be lost, or late; two in a row are a sign.
+  bool deaf() const { return lost_answers >= 2; }
 };
 
 }  // namespace saddleslip::bookkeeping
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -18,6 +18,10 @@
 constexpr Seconds kDrainGap{3.0};  // between two machines to be emptied
 constexpr Seconds kRoomRemembered{60.0};  // of a part that is out of reach, for the fleet
 constexpr Seconds kArrivalWindow{120.0};
+constexpr Seconds kPinHeld{60.0};  // a machine that was handed over stays for so long
+constexpr double kTokenAge = 0.5;  // of a lease: workers report a new token this often at most
+// A machine that hears no answer goes from node to node, and comes by within this.
+constexpr Seconds kDeafRound{20.0};
 
 }  // namespace
 
@@ -96,8 +100,19 @@
   for (auto& [id, m] : machines_) {
     m.token = base;
     m.floor = base;
+    // It has heard this process before: only what is lost from now on counts against it.
+    m.confirm = m.confirmed() && in_a_row ? Token(0) : base;
+    m.answered_token = Token(0);
     if (!in_a_row) m.answered = std::max(m.answered, base::after(now, settings_.tuning.member_ttl));
   }
+  std::map<MachineId, std::pair<MemberId, Time>> pinned;
+  for (const auto& [id, member] : ledger_.view()->pins) {
+    const auto before = pinned_since_.find(id);
+    pinned[id] = before != pinned_since_.end() && before->second.first == member
+                     ? before->second
+                     : std::pair(member, now);
+  }
+  pinned_since_ = std::move(pinned);
   // Shares handed to members that are gone must find a new home at once.
   offered_.clear();
   std::string names;
@@ -220,6 +235,12 @@
   }
   Machine& m = at->second;
   m.answered = now;
+  // A token that never changes would not tell whether answers arrive.
+  if (base::between(m.token_since, now) > settings_.worker_lease * kTokenAge) {
+    m.token = Token(m.token.get() + 1);
+    m.token_since = now;
+  }
+  m.answered_token = m.token;
   return {200, protocol::report_response(m.token, reconcile(m))};
 }
 
@@ -236,6 +257,12 @@
   txn.guards[protocol::kViewKey] = followed_view_;
   for (const auto& [id, b] : bounced_) {
     if (owns(id) || txn.writes.size() >= settings_.txn_ops) continue;
+    // A machine that hears nobody knocks everywhere: handed on each time, its owners would change
+    // for ever, and none would get to see that it is deaf.
+    const auto pinned = pinned_since_.find(id);
+    if (pinned != pinned_since_.end() && base::between(pinned->second.second, now) < kPinHeld) {
+      continue;
+    }
     const Life* owner = owner_of(*ledger_.view(), id);
     const Time first = std::max(b.first, followed_at_);
     const auto s = owner ? siblings_.find(owner->member) : siblings_.end();
@@ -247,7 +274,7 @@
       const auto room = std::find_if(rooms.begin(), rooms.end(),
                                      [&id = id](const MachineRoom& r) { return r.id == id; });
       lost = base::between(first, now) > settings_.report_every + Seconds(2.0) &&
-             (room == rooms.end() || room->silent);
+             (room == rooms.end() || (room->silent && !room->unsure));
     } else {
       // An owner that has ended would have left the view by now: this one lives, out of reach.
       lost = b.times >= 2 && b.last > base::after(first, Seconds(2.0)) &&
@@ -281,6 +308,7 @@
     m.idle_since = now;
     m.token = base_token_;
     m.floor = base_token_;
+    m.confirm = base_token_;
     m.answered = base::after(followed_at_, settings_.tuning.member_ttl);
     spdlog::info("machine {} ({}, {}{}) reports, session {}, {} tasks", report.machine.get(),
                  report.type, report.zone, report.spot ? ", spot" : "", report.session.get(),
@@ -293,6 +321,22 @@
                  report.session.get());
     m.evict.clear();
     m.ran.clear();
+    // A machine that heard nothing for a lease looks like an empty one that is well.
+    m.token = Token(m.token.get() + 1);
+    m.token_since = now;
+    m.confirm = m.token;
+  }
+  if (is_hello && m.answered_token.get() != 0) {
+    if (report.token < m.answered_token) {
+      ++m.lost_answers;
+      if (!m.deaf_since) m.deaf_since = now;
+      if (m.lost_answers == 2) {
+        spdlog::info("machine {} reports, and answers do not reach it", report.machine.get());
+      }
+    } else {
+      m.lost_answers = 0;
+      m.deaf_since.reset();
+    }
   }
   m.last = report;
   m.heard = now;
@@ -432,6 +476,10 @@
 // --- siblings
 
 bool Controller::fresh(const Machine& m, Time now) const {
+  return m.confirmed() && !m.deaf() && heard_lately(m, now);
+}
+
+bool Controller::heard_lately(const Machine& m, Time now) const {
   return base::between(m.heard, now) < settings_.report_every * 2.5;
 }
 
@@ -495,6 +543,8 @@
   r.zone = m.last.zone;
   r.spot = m.last.spot;
   r.silent = !fresh(m, now);
+  r.soon = !m.closed && !m.confirmed() && !m.deaf() && heard_lately(m, now);
+  r.unsure = m.lost_answers > 0 && base::between(m.heard, now) < kDeafRound;
   r.open = !m.closed && !r.silent;
   r.free = look(m).free;
   r.lower = look(m).lower;
@@ -640,6 +690,13 @@
     release.insert(s.status.give_back.begin(), s.status.give_back.end());
     well.insert(s.status.knocked.begin(), s.status.knocked.end());
   }
+  const auto known = parts(now, kRoomRemembered);
+  // ... unless its owner hears it too, and is not heard: then it goes from node to node.
+  for (const auto& [member, rooms] : known) {
+    for (const MachineRoom& r : rooms) {
+      if (r.unsure) well.erase(r.id);
+    }
+  }
   std::erase_if(release,
                 [&](const MachineId& id) { return gone_.contains(id) || well.contains(id); });
   actions.release.assign(release.begin(), release.end());
@@ -653,7 +710,6 @@
   in.spot_share = settings_.tuning.spot_share;
   std::set<MachineId> heard;
   std::map<MachineId, MemberId> owner;
-  const auto known = parts(now, kRoomRemembered);
   for (const auto& [member, rooms] : known) {
     for (const MachineRoom& r : rooms) {
       heard.insert(r.id);
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -162,7 +162,9 @@
   };
 
   bool owns(const MachineId& machine) const;
+  // Does it report, and hear what it is answered?
   bool fresh(const Machine& m, Time now) const;
+  bool heard_lately(const Machine& m, Time now) const;
   void observe(const Report& report, Time now, bool is_hello);
   std::vector<Command> reconcile(const Machine& m) const;
   std::vector<Command> stops_for(const Machine& m) const;
@@ -215,6 +217,7 @@
     Time first{}, last{};
     int times = 0;
   };
+  std::map<MachineId, std::pair<MemberId, Time>> pinned_since_;
   std::map<MachineId, Bounced> bounced_;   // sent to their owners, and back again
   std::map<MachineId, Time> owned_since_;  // for machines never heard: the base of lease proofs
   std::map<MachineId, Session> dead_session_;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -59,7 +59,7 @@
   };
   for (const MachineType& t : *in.catalogue) grow(t.size);
   for (const MachineRoom& m : in.machines) {
-    if (!m.open) continue;
+    if (!m.open && !m.soon) continue;
     sites.push_back({{m.type, m.zone, m.spot}, &m, false});
     bins.push_back({m.free});
   }
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -749,9 +749,12 @@
     const bool overdue = m.taken_at && now > *m.taken_at;
     // While this node might not answer, workers went from node to node: that is no silence.
     const Time heard = std::max(m.heard, *entitled_since_);
-    if (base::between(heard, now) > (overdue ? settings_.report_every * 2.0 : quiet)) {
-      mute.insert(id);
-    }
+    const bool silent =
+        base::between(heard, now) > (overdue ? settings_.report_every * 2.0 : quiet);
+    // Reports that arrive while no answer does, or late copies of a dead machine's.
+    const bool deaf =
+        m.deaf() && base::between(std::max(*m.deaf_since, *entitled_since_), now) > quiet;
+    if (silent || deaf) mute.insert(id);
   }
   for (const auto& [id, tasks] : ledger_.held()) {
     if (!owns(id) || machines_.contains(id) || gone_.contains(id)) continue;
@@ -773,7 +776,9 @@
   std::set<MachineId> next;
   for (const MachineId& id : mute) {
     const auto at = machines_.find(id);
-    const Time since = at != machines_.end() ? at->second.heard : owned_since_[id];
+    const Time since = at == machines_.end()   ? owned_since_[id]
+                       : at->second.deaf_since ? *at->second.deaf_since
+                                               : at->second.heard;
     if (few || mute_.contains(id) || base::between(since, now) > settings_.worker_lease * 6.0) {
       if (!mute_.contains(id)) spdlog::info("machine {} is silent: to be released", id.get());
       next.insert(id);
--- a/src/protocol/records.cpp
+++ b/src/protocol/records.cpp
@@ -222,7 +222,7 @@
   Json machines = Json::array();
   for (const MachineRoom& m : s.machines) {
     machines.push_back({m.id.get(), m.type, m.zone, m.spot, m.open, m.free.v, m.lower.v, m.tasks,
-                        m.idle_s, m.images, m.silent});
+                        m.idle_s, m.images, m.silent, m.unsure, m.soon});
   }
   Json back = Json::array();
   for (const MachineId& id : s.give_back) back.push_back(id.get());
@@ -254,6 +254,8 @@
       room.tasks = m.at(7).get<std::uint32_t>();
       room.idle_s = m.at(8).get<double>();
       if (m.size() > 10) room.silent = m.at(10).get<bool>();
+      if (m.size() > 11) room.unsure = m.at(11).get<bool>();
+      if (m.size() > 12) room.soon = m.at(12).get<bool>();
       if (m.size() > 9) room.images = m.at(9).get<std::vector<std::string>>();
       s.machines.push_back(std::move(room));
     }
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -157,7 +157,9 @@
   std::uint32_t tasks = 0;
   double idle_s = 0;  // since it last had a task
   std::vector<std::string> images;
-  bool silent = false;  // no report for a while
+  bool silent = false;  // no report for a while, or none that shows that it hears its owner
+  bool unsure = false;  // it reports, and did not show the latest answer
+  bool soon = false;    // just heard of: open once it has shown that it hears its owner
 
   bool has_image(const std::string& image) const {
     return std::find(images.begin(), images.end(), image) != images.end();
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -15,6 +15,7 @@
 
 constexpr double kStep = 0.05;
 constexpr double kPull = 0.5;
+constexpr double kForgottenAfter = 75;  // the operators' end-of-day check, a job at a time
 
 std::string name(std::size_t n) {
   return "n" + std::to_string(n);
@@ -244,8 +245,14 @@
     return next();
   }
   const auto rep = report_of(w);
+  if (w.copies_after >= 0) late_reports_.push_back({t_ + w.copies_after, rep});
   const auto reply = nodes_[n].controller->hello(rep, now());
   nodes_[n].rung = true;
+  if (w.deaf) {
+    next();
+    w.next_report = t_ + 5.0;  // no answer for 4 s, and the next node 1 s later
+    return;
+  }
   const Json body = Json::parse(reply.body, nullptr, false);
   if (reply.status == 421 && body.contains("trailboss")) {
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
@@ -281,6 +288,7 @@
   const auto at = workers_.find(order.machine.get());
   if (at == workers_.end() || !at->second.alive || at->second.hung || t_ < at->second.boots) return;
   Worker& w = at->second;
+  if (w.deaf) return;
   if (order.token.get() >= w.token && order.session.get() == w.session) {
     w.token = order.token.get();
     execute(w, order.commands);
@@ -307,6 +315,7 @@
         if (a.state == "pulling" && t_ >= a.ready) {
           // On its machine from here on.
           check_start(w, task);
+          if (!job->second.began) job->second.began = t_;
           a.state = "running";
           a.ends = t_ + job->second.run;
           if (w.sick) {
@@ -602,8 +611,15 @@
     broken("forgotten: " + job.spec.id.get());
 }
 
+bool World::troubled() const {
+  if (state_down_ || !cuts_.empty() || !late_commit_.empty() || !watch_lag_.empty()) return true;
+  return std::any_of(nodes_.begin(), nodes_.end(),
+                     [](const NodeSim& n) { return !n.up || !n.loaded; });
+}
+
 void World::poll() {
   next_poll_ = t_ + 0.5;
+  if (troubled()) troubles_over_ = t_;
   for (auto& [id, job] : jobs_) {
     if (!job.accepted) submit(0, job);
     if (!job.accepted) continue;
@@ -616,6 +632,7 @@
       const auto r = nodes_[n].users->status(id);
       if (r.status == 404) broken("forgotten: " + id.get());
       if (r.status != 200) continue;
+      job.known_at = t_;
       const std::string status = Json::parse(r.body)["status"];
       if (!job.told_final.empty() && status != job.told_final) {
         broken("went_back: " + id.get() + " from " + job.told_final + " to " + status);
@@ -626,6 +643,10 @@
       if (status == "done" || status == "withdrawn") job.told_final = status;
     }
   }
+  for (const auto& [id, job] : jobs_) {
+    if (job.accepted && t_ - std::max(job.known_at, troubles_over_) > kForgottenAfter)
+      broken("forgotten: no question about " + id.get() + " is answered");
+  }
   for (std::size_t n = 0; n < nodes_.size(); ++n) {
     if (!nodes_[n].up || !nodes_[n].loaded) continue;
     if (nodes_[n].users->status(JobId("run-999999")).status == 200)
@@ -681,6 +702,19 @@
     late_.erase(late_.begin() + static_cast<std::ptrdiff_t>(i));
     deliver(l.order, l.from);
   }
+  for (std::size_t i = 0; i < late_reports_.size();) {
+    if (t_ < late_reports_[i].at) {
+      ++i;
+      continue;
+    }
+    const LateReport late = late_reports_[i];
+    late_reports_.erase(late_reports_.begin() + static_cast<std::ptrdiff_t>(i));
+    for (NodeSim& node : nodes_) {
+      if (!node.up || !node.loaded) continue;
+      node.controller->hello(late.report, now());
+      node.rung = true;
+    }
+  }
   step_workers();
   for (std::size_t n = 0; n < nodes_.size(); ++n) step_node(n);
   if (t_ >= next_poll_) poll();
@@ -744,6 +778,7 @@
     if (options.contains("zone")) job.spec.zone = options["zone"];
     if (options.contains("type")) job.spec.types = {{options["type"]}};
     job.run = option("run", 10);
+    job.submitted = job.known_at = t_;
     submit(static_cast<std::size_t>(option("node", 0)), jobs_[job.spec.id] = job);
   } else if (word == "withdraw") {
     jobs_.at(JobId(arg())).withdraw_asked = true;
@@ -774,6 +809,16 @@
     Worker& w = workers_.at(arg());
     w.alive = false;
     w.tasks.clear();
+  } else if (word == "deaf" || word == "hears") {
+    workers_.at(arg()).deaf = word == "deaf";
+  } else if (word == "copies") {
+    Worker& w = workers_.at(arg());
+    w.copies_after = std::stod(arg());
+  } else if (word == "reboot") {
+    // Back before it was missed: nothing is on it, and its next session has begun.
+    Worker& w = workers_.at(arg());
+    end_session(w);
+    w.boots = w.next_report = w.last_answered = t_ + std::stod(arg());
   } else if (word == "hang") {
     workers_.at(arg()).hung = true;
   } else if (word == "wake") {
@@ -816,6 +861,15 @@
       if (n != want)
         broken("expected " + std::to_string(want) + " running of " + id.get() + ", not " +
                std::to_string(n));
+    } else if (what == "began") {
+      // ... within so many seconds of its submission.
+      const JobSim& job = jobs_.at(JobId(arg()));
+      const double within = std::stod(arg());
+      if (!job.began || *job.began - job.submitted > within)
+        broken("expected " + job.spec.id.get() + " to have begun within " + std::to_string(within));
+    } else if (what == "gone") {
+      const std::string id = arg();
+      if (workers_.contains(id)) broken("expected machine " + id + " to be returned");
     } else if (what == "machines") {
       const auto want = std::stoul(arg());
       if (workers_.size() != want)
--- a/tests/world.h
+++ b/tests/world.h
@@ -53,6 +53,8 @@
   struct Worker {
     std::string id, type, zone;
     bool spot = false, alive = true, hung = false, sick = false;
+    bool deaf = false;         // its reports arrive, and nothing reaches it
+    double copies_after = -1;  // a copy of each report arrives so much later, everywhere
     double boots = 0;
     std::uint64_t session = 1, sequence = 0, token = 0;
     double last_answered = 0;  // when its last answered report was sent
@@ -67,6 +69,10 @@
     coordination::Order order;
     std::size_t from;
   };
+  struct LateReport {
+    double at;
+    protocol::Report report;
+  };
   struct NodeSim {
     base::Settings settings;
     std::unique_ptr<coordination::Controller> controller;
@@ -84,6 +90,8 @@
     bool accepted = false, withdraw_asked = false;
     std::optional<double> withdrawn_at;
     std::string told_final;
+    double submitted = 0, known_at = 0;  // when a question about it was last answered
+    std::optional<double> began;
     std::set<TaskNo> done;
   };
 
@@ -124,6 +132,7 @@
   void poll();
   void check_start(const Worker& w, const TaskId& task);
   void check_rules();
+  bool troubled() const;
   void broken(const std::string& what);
   void command(const std::string& line);
   void step();
@@ -140,6 +149,7 @@
 
   std::map<std::string, Worker> workers_;
   std::vector<Late> late_;
+  std::vector<LateReport> late_reports_;
   double hold_orders_until_ = -1;
   bool lose_orders_ = false;
   bool repeat_orders_ = false;
@@ -157,6 +167,7 @@
   double next_poll_ = 0;
   std::size_t starts_ = 0;
   std::string teams_ = R"({"name":"t","cpus":0,"cpus_max":0})";
+  double troubles_over_ = 0;  // since when nothing is cut, held, down or late
   double report_s_ = 1, lease_s_ = 10, cancel_s_ = 30;
 };
 
