Rent all that waits at once; empty several half-empty machines at a time

One machine of hundreds was emptied every 3 s, so that services of the evening lay scattered over many.

Change: a plan rents what is missing, up to 200, the most urgent kind first, 50 a call; a fortieth of the machines may be emptied at a time, into room that is reckoned once. Zones are evened out by share.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -809,9 +809,8 @@
   }
   actions.plan = coordination::plan_fleet(in);
   if (!actions.plan.rent.empty()) restless_at_ = now;
-  if (actions.plan.drain) {
+  for (const MachineId& id : actions.plan.drain) {
     drained_at_ = now;
-    const MachineId& id = *actions.plan.drain;
     if (owner[id] == self_.member) {
       drain({id});
     } else {
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 #include "coordination/packing.h"
 
@@ -12,7 +13,9 @@
 constexpr double kDrainBelow = 0.55;  // a machine that is busier than this is not emptied
 constexpr double kFarFromControllers = 1.25;
 constexpr double kInTheWay = 1.05;
-constexpr std::size_t kMostAtOnce = 12;  // machines rented by one plan
+constexpr double kSpread = 0.02;  // how much dearer a zone looks that has all machines already
+constexpr std::size_t kMostAtOnce = 200;  // machines rented by one plan
+constexpr std::size_t kDrainOneOf = 40;   // one machine of so many is emptied at a time
 
 // What a kind costs for each task of the demand that it can really be filled with.
 double cost_per_task(const MachineType& type, bool spot, const Demand& d, std::size_t count) {
@@ -97,15 +100,16 @@
   pack(groups, bins, scale);
 
   // What found no room: the cheapest kind for the first group, then whatever else fits into it.
-  std::map<MachineKind, int> rent;
-  std::size_t rented = 0;
-  while (rented < kMostAtOnce) {
-    std::size_t at = groups.size();
-    for (std::size_t g = 0; g < groups.size(); ++g) {
-      if (groups[g].count > 0 && (at == groups.size() || groups[g].tier < groups[at].tier)) at = g;
-    }
-    if (at == groups.size()) break;
-    const Demand& d = in.demand[at];
+  std::vector<std::size_t> by_tier(groups.size());
+  for (std::size_t g = 0; g < groups.size(); ++g) by_tier[g] = g;
+  std::stable_sort(by_tier.begin(), by_tier.end(),
+                   [&](std::size_t x, std::size_t y) { return groups[x].tier < groups[y].tier; });
+  std::map<std::string, double> in_zone;
+  for (const Site& s : sites) ++in_zone[s.kind.zone];
+  double all = static_cast<double>(sites.size()) + 1;
+  const auto cheapest =
+      [&](std::size_t g) -> std::optional<std::pair<const MachineType*, MachineKind>> {
+    const Demand& d = in.demand[g];
     const MachineType* best = nullptr;
     MachineKind kind;
     double least = 0;
@@ -117,15 +121,11 @@
           if (cut_off(zone) && !(d.spec && d.spec->zone)) continue;
           const MachineKind k{t.name, zone, spot};
           const auto refused = in.refused.find(k);
-          if (refused != in.refused.end() && in.now < refused->second) {
-            continue;
-          }
-          double cost = cost_per_task(t, spot, d, groups[at].count);
+          if (refused != in.refused.end() && in.now < refused->second) continue;
+          double cost = cost_per_task(t, spot, d, groups[g].count);
           if (cost < 0) continue;
           // Equal prices: spread over the zones, so that no one fault takes all.
-          const auto have = std::count_if(sites.begin(), sites.end(),
-                                          [&](const Site& s) { return s.kind.zone == zone; });
-          cost *= 1.0 + 1e-4 * static_cast<double>(have);
+          cost *= 1.0 + kSpread * in_zone[zone] / all;
           // Services go where controllers are, and other work keeps out of the way.
           const bool service = !d.spec || d.spec->kind == protocol::Kind::kService;
           if (service != in.controller_zones.contains(zone))
@@ -138,67 +138,88 @@
         }
       }
     }
-    if (!best) {
-      groups[at].count = 0;
-      continue;
-    }
-    ++rent[kind];
-    ++rented;
-    sites.push_back({kind, nullptr, true});
-    bins.push_back({best->size});
-    // Only the new machine has room for any of them.
-    std::vector<Bin> one = {bins.back()};
-    const std::size_t index = sites.size() - 1;
-    std::vector<Group> rest = groups;
-    for (std::size_t g = 0; g < rest.size(); ++g) {
-      rest[g].allowed = [&groups, g, index](std::size_t) {
-        return !groups[g].allowed || groups[g].allowed(index);
-      };
-      rest[g].placed = nullptr;
-    }
-    pack(rest, one, scale);
-    bool progress = false;
-    for (std::size_t g = 0; g < groups.size(); ++g) {
-      progress = progress || rest[g].count != groups[g].count;
-      groups[g].count = rest[g].count;
+    if (!best) return {};
+    return std::pair(best, kind);
+  };
+  std::size_t rented = 0;
+  for (const std::size_t first : by_tier) {
+    while (groups[first].count > 0 && rented < kMostAtOnce) {
+      const auto best = cheapest(first);
+      if (!best) break;
+      const auto& [type, kind] = *best;
+      const auto same = std::find_if(plan.rent.begin(), plan.rent.end(),
+                                     [&k = kind](const Rent& r) { return r.kind == k; });
+      if (same == plan.rent.end()) {
+        plan.rent.push_back({kind, 1});
+      } else {
+        ++same->count;
+      }
+      ++rented;
+      ++in_zone[kind.zone];
+      ++all;
+      sites.push_back({kind, nullptr, true});
+      bins.push_back({type->size});
+      Resources& free = bins.back().free;
+      for (const std::size_t g : by_tier) {
+        Group& group = groups[g];
+        while (group.count > 0 && free.fits(group.need) && group.allowed(sites.size() - 1)) {
+          free -= group.need;
+          --group.count;
+        }
+      }
     }
-    if (!progress) groups[at].count = 0;
   }
-  for (const auto& [kind, n] : rent) plan.rent.push_back({kind, n});
 
+  // Machines whose services fit elsewhere, where their images are, at no one's cost: room that is
+  // left after all that waits or is expected, on machines that stay anyway.
   if (in.calm && plan.rent.empty()) {
-    double most = 0;
+    struct Candidate {
+      double gain;
+      std::size_t site;
+    };
+    std::vector<Candidate> candidates;
     for (std::size_t b = 0; b < sites.size(); ++b) {
       const MachineRoom* m = sites[b].machine;
       const MachineType* type = m ? type_of(m->type) : nullptr;
-      if (!type || m->spot || m->tasks == 0) continue;
+      if (!type || m->spot || m->tasks == 0 || !m->open) continue;
       const auto movable = in.movable.find(m->id);
       if (movable == in.movable.end() || movable->second.empty()) continue;
       const double busy = type->size.cores() - m->free.cores();
       if (busy > type->size.cores() * kDrainBelow) continue;
-      // Room that is left after all that waits or is expected, on machines that stay anyway.
-      std::vector<Bin> left = bins;
-      bool all = true;
-      for (const protocol::JobSpec* spec : movable->second) {
-        std::size_t to = sites.size();
-        for (std::size_t o = 0; o < sites.size() && to == sites.size(); ++o) {
+      candidates.push_back({type->price / static_cast<double>(movable->second.size()), b});
+    }
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const Candidate& x, const Candidate& y) { return x.gain > y.gain; });
+    const std::size_t most = std::max<std::size_t>(1, in.machines.size() / kDrainOneOf);
+    std::set<std::size_t> leaving, filling;
+    for (const Candidate& c : candidates) {
+      if (plan.drain.size() >= most) break;
+      if (filling.contains(c.site)) continue;
+      std::vector<std::size_t> to;
+      for (const protocol::JobSpec* spec : in.movable.at(sites[c.site].machine->id)) {
+        std::size_t at = sites.size();
+        for (std::size_t o = 0; o < sites.size() && at == sites.size(); ++o) {
           const MachineRoom* other = sites[o].machine;
-          if (o == b || !other || other->tasks == 0 || !left[o].free.fits(spec->need) ||
+          if (o == c.site || !other || !other->open || other->tasks == 0 || leaving.contains(o) ||
+              !bins[o].free.fits(spec->need) ||
               !may_run(*spec, other->type, other->zone, other->spot) ||
               !other->has_image(spec->image)) {
             continue;
           }
-          to = o;
+          at = o;
         }
-        all = all && to < sites.size();
-        if (!all) break;
-        left[to].free -= spec->need;
+        if (at == sites.size()) break;
+        bins[at].free -= spec->need;
+        to.push_back(at);
       }
-      const double gain = type->price / static_cast<double>(movable->second.size());
-      if (all && gain > most) {
-        most = gain;
-        plan.drain = m->id;
+      const auto& services = in.movable.at(sites[c.site].machine->id);
+      if (to.size() < services.size()) {
+        for (std::size_t i = 0; i < to.size(); ++i) bins[to[i]].free += services[i]->need;
+        continue;
       }
+      leaving.insert(c.site);
+      filling.insert(to.begin(), to.end());
+      plan.drain.push_back(sites[c.site].machine->id);
     }
   }
 
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -55,9 +55,9 @@
 };
 
 struct FleetPlan {
-  std::vector<Rent> rent;
-  // A machine whose services fit elsewhere, where their images are: to be emptied.
-  std::optional<MachineId> drain;
+  std::vector<Rent> rent;  // the most urgent first
+  // Machines whose services fit elsewhere, where their images are: to be emptied.
+  std::vector<MachineId> drain;
   std::vector<MachineId> close;  // idle and not needed: to be closed by their owners, then released
 };
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -657,10 +657,12 @@
     std::deque<Hire> hires;
     if (open) hires.push_back(*open);
     for (const auto& r : actions.plan.rent) {
-      // Never a name that any node or life has used: lives are numbered by the store.
-      hires.push_back({"r-" + life.member.get() + "-" + std::to_string(life.life.get()) + "-" +
-                           std::to_string(++hires_),
-                       r.kind, r.count});
+      for (int left = r.count; left > 0; left -= protocol::kMostRented) {
+        // Never a name that any node or life has used: lives are numbered by the store.
+        hires.push_back({"r-" + life.member.get() + "-" + std::to_string(life.life.get()) + "-" +
+                             std::to_string(++hires_),
+                         r.kind, std::min(left, protocol::kMostRented)});
+      }
     }
     bool rented = false;
     const bool was_open = open.has_value();
--- a/src/protocol/clients.cpp
+++ b/src/protocol/clients.cpp
@@ -209,7 +209,7 @@
                                    {"breed", type},
                                    {"paddock", zone},
                                    {"strays", spot},
-                                   {"how_many", std::clamp(count, 1, 50)}}
+                                   {"how_many", std::clamp(count, 1, kMostRented)}}
                                   .dump(),
                               Seconds(5.0));
   Rented r;
--- a/src/protocol/clients.h
+++ b/src/protocol/clients.h
@@ -66,6 +66,8 @@
   transport::HttpClient watches_;
 };
 
+inline constexpr int kMostRented = 50;  // by one call
+
 class CloudClient {
  public:
   explicit CloudClient(const base::Address& address);
