A machine just heard of is not claimed from its owner

After a restart machines that had reported to their owner 3 s before were claimed by another node: until they show the owner's token they are not placed on, and were told to the siblings as silent. Each claim is a new view, which fences every round under way.

Change: the status tells machines that are just heard of apart, and they are not claimed.

Also the ledger's test builds without a false warning.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -274,7 +274,7 @@
       const auto room = std::find_if(rooms.begin(), rooms.end(),
                                      [&id = id](const MachineRoom& r) { return r.id == id; });
       lost = base::between(first, now) > settings_.report_every + Seconds(2.0) &&
-             (room == rooms.end() || (room->silent && !room->unsure));
+             (room == rooms.end() || (room->silent && !room->unsure && !room->soon));
     } else {
       // An owner that has ended would have left the view by now: this one lives, out of reach.
       lost = b.times >= 2 && b.last > base::after(first, Seconds(2.0)) &&
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -10,9 +10,9 @@
 protocol::JobRecord job(const std::string& id, TaskNo tasks) {
   protocol::JobRecord j;
   j.spec.id = JobId(id);
-  j.spec.job_class = "c";
-  j.spec.team = "t";
-  j.spec.image = "i";
+  j.spec.job_class = std::string(1, 'c');
+  j.spec.team = std::string(1, 't');
+  j.spec.image = std::string(1, 'i');
   j.spec.tasks = tasks;
   j.spec.need.v = {2, 0, 1};
   j.chunk = 16;
