--- a/tests/packing_test.cpp
+++ b/tests/packing_test.cpp
@@ -16,6 +16,14 @@
   return x;
 }
 
+Group group(const Resources& need, std::size_t count, int tier) {
+  Group g;
+  g.need = need;
+  g.count = count;
+  g.tier = tier;
+  return g;
+}
+
 TEST(Packing, ScoresTheScalarProjectionOnFreeRoom) {
   // s = (1/8, 1/4), r = (4/8, 8/32): the dot product over the squared length of r.
   EXPECT_NEAR(score(r(1, 8), r(4, 8), r(8, 32)), (0.125 * 0.5 + 0.25 * 0.25) / (0.25 + 0.0625),
@@ -25,11 +33,7 @@
 }
 
 TEST(Packing, PutsTheBestPairFirst) {
-  std::vector<Group> groups(2);
-  groups[0].need = r(1, 1);
-  groups[0].count = 1;
-  groups[1].need = r(4, 4);
-  groups[1].count = 1;
+  std::vector<Group> groups = {group(r(1, 1), 1, 0), group(r(4, 4), 1, 0)};
   std::vector<Bin> bins = {{r(8, 8)}, {r(4, 4)}};
   const auto p = pack(groups, bins, r(8, 8));
   ASSERT_EQ(p.size(), 2u);
@@ -39,12 +43,7 @@
 }
 
 TEST(Packing, GoesByTiersAndNeverOverfills) {
-  std::vector<Group> groups(2);
-  groups[0].need = r(4, 4);
-  groups[0].count = 3;
-  groups[0].tier = 1;
-  groups[1].need = r(1, 1);
-  groups[1].count = 2;
+  std::vector<Group> groups = {group(r(4, 4), 3, 1), group(r(1, 1), 2, 0)};
   std::vector<Bin> bins = {{r(4, 4)}, {r(5, 5)}};
   const auto p = pack(groups, bins, r(5, 5));
   ASSERT_EQ(p.size(), 3u);
