--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -52,7 +52,7 @@
   TaskNo chunk_size(std::size_t c) const {
     return std::min(record.chunk, record.spec.tasks - chunk_first(c));
   }
-  TaskNo pending() const { return record.withdrawn ? 0 : record.spec.tasks - done - held; }
+  TaskNo pending() const { return record.cancelled ? 0 : record.spec.tasks - done - held; }
   bool is_done(TaskNo no) const {
     const auto& c = chunks[record.chunk_of(no)];
     return c.record.done[no % record.chunk];
@@ -88,7 +88,7 @@
   // Changes whenever what is held by the machine does, or whether it is still wanted; 0: nothing is.
   std::uint64_t stamp(const MachineId& machine) const;
   std::uint64_t last_stamp() const { return last_stamp_; }  // of any machine
-  // Counts jobs that came, went or were withdrawn.
+  // Counts jobs that came, went or were cancelled.
   std::uint64_t job_changes() const { return job_changes_; }
   Resources team_use(const std::string& team) const;
   bool limited(const std::string& team) const;
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -457,7 +457,7 @@
       const Job* job = ledger_.job(task.job);
       // Nor is it started any more: not wanted, or stopped before it began. Without this the latter
       // would be held for ever by a machine that has never heard of it.
-      const bool unwanted = job && (job->record.withdrawn || m.evict.contains(task));
+      const bool unwanted = job && (job->record.cancelled || m.evict.contains(task));
       if (unwanted && held.session == report.session && !report.tasks.contains(task)) {
         absent_[task] = held.attempt;
       }
@@ -474,10 +474,10 @@
     for (const auto& t : attempts) {
       if (t.state == protocol::TaskState::kEnded) continue;
       const bool ours = h != held.end() && h->second.attempt == t.attempt;
-      const bool wanted = ours && job && !job->record.withdrawn && !m.evict.contains(task);
+      const bool wanted = ours && job && !job->record.cancelled && !m.evict.contains(task);
       if (wanted) continue;
       const bool save =
-          ours && job && !job->record.withdrawn && job->record.spec.checkpoint.count() > 0;
+          ours && job && !job->record.cancelled && job->record.spec.checkpoint.count() > 0;
       if (t.state == protocol::TaskState::kSaving && save) continue;
       out.push_back({Command::Op::kKill, task, t.attempt,
                      save ? job->record.spec.save + Seconds(1.0) : Seconds(0)});
@@ -506,7 +506,7 @@
   for (const auto& [task, h] : held) {
     if (h.session != m.last.session || m.evict.contains(task)) continue;
     const Job* job = ledger_.job(task.job);
-    if (!job || job->record.withdrawn) continue;
+    if (!job || job->record.cancelled) continue;
     const auto reported = m.last.tasks.find(task);
     const bool known = reported != m.last.tasks.end() &&
                        std::any_of(reported->second.begin(), reported->second.end(),
@@ -810,7 +810,7 @@
   std::vector<std::pair<double, const Job*>> jobs;
   for (const auto& [id, job] : ledger_.jobs()) {
     const auto& spec = job.record.spec;
-    if (spec.kind != protocol::Kind::kArray || !spec.deadline || job.record.withdrawn ||
+    if (spec.kind != protocol::Kind::kArray || !spec.deadline || job.record.cancelled ||
         job.done >= spec.tasks) {
       continue;
     }
@@ -975,7 +975,7 @@
     for (const auto& [machine, tasks] : ledger_.held()) {
       for (const auto& [task, held] : tasks) {
         const Job* job = ledger_.job(task.job);
-        if (job && job->record.spec.kind == protocol::Kind::kService && !job->record.withdrawn) {
+        if (job && job->record.spec.kind == protocol::Kind::kService && !job->record.cancelled) {
           in.movable[machine].push_back(&job->record.spec);
         }
       }
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -261,7 +261,7 @@
   std::map<MachineId, Time> owned_since_;   // for machines never heard: the base of lease proofs
   std::map<MachineId, Session> dead_session_;
   std::map<MachineId, Time> gone_;
-  std::map<TaskId, base::Attempt> absent_;  // withdrawn, and certainly never to start
+  std::map<TaskId, base::Attempt> absent_;  // cancelled, and certainly never to start
   std::map<MachineId, std::string> zones_;
   std::map<std::pair<TaskId, std::uint64_t>, Time> stop_sent_;
   std::map<TaskId, Time> end_seen_;  // of ends that wait to be put on record with others
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -43,9 +43,9 @@
   return txn;
 }
 
-Transaction withdrawal(const protocol::JobRecord& job, base::Version version) {
+Transaction cancellation(const protocol::JobRecord& job, base::Version version) {
   protocol::JobRecord next = job;
-  next.withdrawn = true;
+  next.cancelled = true;
   Transaction txn;
   // The version is the one that starts guard: none can be recorded after this.
   txn.guards[protocol::job_key(job.spec.id)] = version;
@@ -56,8 +56,8 @@
 std::optional<Transaction> finish(const bookkeeping::Job& job, std::size_t txn_ops) {
   const auto& spec = job.record.spec;
   const bool all_done = job.done == spec.tasks;
-  // A withdrawn job stays until nothing of it is on a machine: its tasks count for the team.
-  if (job.held > 0 || (!all_done && !job.record.withdrawn)) return {};
+  // A cancelled job stays until nothing of it is on a machine: its tasks count for the team.
+  if (job.held > 0 || (!all_done && !job.record.cancelled)) return {};
   Transaction txn;
   add_finish(txn, job, txn_ops);
   return txn;
@@ -65,10 +65,10 @@
 
 void add_finish(Transaction& txn, const bookkeeping::Job& job, std::size_t txn_ops) {
   const auto& spec = job.record.spec;
-  // A withdrawal between the last end and here wins: users were told so.
+  // A cancellation between the last end and here wins: users were told so.
   txn.guards[protocol::job_key(spec.id)] = job.version;
   const auto state =
-      job.record.withdrawn ? protocol::JobStatus::kWithdrawn : protocol::JobStatus::kDone;
+      job.record.cancelled ? protocol::JobStatus::kCancelled : protocol::JobStatus::kDone;
   txn.writes.push_back({protocol::final_key(spec.id), protocol::final_record(state), {}});
   txn.writes.push_back({protocol::job_key(spec.id), {}, {}});
   if (job.chunks.size() > 1 && (spec.one_zone || spec.spread)) {
--- a/src/coordination/intake.h
+++ b/src/coordination/intake.h
@@ -1,4 +1,4 @@
-// Submissions and withdrawals: what is refused, and what is committed before a user is answered.
+// Submissions and cancellations: what is refused, and what is committed before a user is answered.
 #pragma once
 
 #include <optional>
@@ -14,7 +14,7 @@
 
 // `parts`: among how many controllers the machines are parted.
 protocol::Transaction acceptance(const protocol::JobSpec& spec, double wall_now, std::size_t parts);
-protocol::Transaction withdrawal(const protocol::JobRecord& job, base::Version version);
+protocol::Transaction cancellation(const protocol::JobRecord& job, base::Version version);
 
 // Adds what moves a job that is over out of the way.
 void add_finish(protocol::Transaction& txn, const bookkeeping::Job& job, std::size_t txn_ops);
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -98,7 +98,7 @@
   }
   std::map<std::string, std::vector<const Job*>> by_team;
   for (const auto& [id, job] : ledger_.jobs()) {
-    if (!job.record.withdrawn) by_team[job.record.spec.team].push_back(&job);
+    if (!job.record.cancelled) by_team[job.record.spec.team].push_back(&job);
   }
   for (auto& [name, jobs] : by_team) {
     const auto team = settings_.teams.find(name);
@@ -292,7 +292,7 @@
 // at once where it is started again, since its result is kept.
 bool Controller::can_wait(const RoundPlan::End& end, const std::set<TaskId>& ended, Time now) {
   const Job* job = ledger_.job(end.task.job);
-  if (!end.done || !job || job->record.withdrawn) return false;
+  if (!end.done || !job || job->record.cancelled) return false;
   const Time seen = end_seen_.try_emplace(end.task, now).first->second;
   if (base::between(seen, now) > settings_.tuning.record_within) return false;
   // A team near its limit waits for the room that the record still counts.
@@ -389,7 +389,7 @@
   std::map<JobId, std::size_t> index;
   for (const PoolEntry& p : pool_) {
     const Job* job = ledger_.job(p.job);
-    if (!job || job->record.withdrawn) continue;
+    if (!job || job->record.cancelled) continue;
     if (pace == Pace::kUrgent && tier_of(*job) > kLastUrgentTier) continue;
     const auto [at, is_new] = index.try_emplace(p.job, waiting.size());
     if (is_new) waiting.push_back({job, {}, {}, true});
@@ -602,7 +602,7 @@
   for (const auto& [id, counts] : after) {
     const Job& job = *ledger_.job(id);
     const auto& [done, held] = counts;
-    if (held > 0 || (!job.record.withdrawn && done < job.record.spec.tasks)) continue;
+    if (held > 0 || (!job.record.cancelled && done < job.record.spec.tasks)) continue;
     if (!settled(job)) continue;
     const std::size_t more = 3;
     if (writes + more > settings_.txn_ops) continue;
@@ -701,7 +701,7 @@
         std::vector<Victim> candidates;
         for (const auto& [task, held] : ledger_.held_by(id)) {
           const Job* other = ledger_.job(task.job);
-          if (!other || other->record.withdrawn || m.evict.contains(task) ||
+          if (!other || other->record.cancelled || m.evict.contains(task) ||
               reported_over(m, task, held) || !may_stop(*other)) {
             continue;
           }
@@ -924,16 +924,16 @@
   std::erase_if(absent_, [&](const auto& a) { return !ledger_.job(a.first.job); });
 }
 
-// Has the watch brought all that came before the job's record as it is known here? A withdrawal read
+// Has the watch brought all that came before the job's record as it is known here? A cancellation read
 // ahead of it may be known while a start before it is not.
 bool Controller::settled(const Job& job) const {
-  return !job.record.withdrawn || ledger_.revision().get() >= job.version.get();
+  return !job.record.cancelled || ledger_.revision().get() >= job.version.get();
 }
 
 std::optional<Transaction> Controller::finish_one() {
   if (!alive_ || !ledger_.view()) return {};
   for (const auto& [id, job] : ledger_.jobs()) {
-    if (!job.record.withdrawn && job.done < job.record.spec.tasks) continue;
+    if (!job.record.cancelled && job.done < job.record.spec.tasks) continue;
     const Life* home = home_of(*ledger_.view(), id);
     if (!home || *home != self_ || !settled(job)) continue;
     if (auto txn = finish(job, settings_.txn_ops)) return txn;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -126,20 +126,20 @@
 
 Node::Reply Node::serve_user(const Request& req) {
   static const std::string kSubmissions = "/submissions";
-  static const std::string kWithdraw = "/withdraw";
+  static const std::string kCancel = "/withdraw";
   const auto wrong_method = [] { return error(405, "wrong method"); };
   if (req.path == kSubmissions) {
     return req.method == "POST" ? users_.submit(req.body, now()) : wrong_method();
   }
   if (req.path.compare(0, kSubmissions.size() + 1, kSubmissions + "/") == 0) {
     std::string id = req.path.substr(kSubmissions.size() + 1);
-    const bool is_withdrawal =
-        id.size() > kWithdraw.size() &&
-        id.compare(id.size() - kWithdraw.size(), std::string::npos, kWithdraw) == 0;
-    if (is_withdrawal) id.resize(id.size() - kWithdraw.size());
+    const bool is_cancellation =
+        id.size() > kCancel.size() &&
+        id.compare(id.size() - kCancel.size(), std::string::npos, kCancel) == 0;
+    if (is_cancellation) id.resize(id.size() - kCancel.size());
     if (!protocol::valid_job_id(id)) return error(404, "no such job");
-    if (is_withdrawal) {
-      return req.method == "POST" ? users_.withdraw(JobId(id), now()) : wrong_method();
+    if (is_cancellation) {
+      return req.method == "POST" ? users_.cancel(JobId(id), now()) : wrong_method();
     }
     return req.method == "GET" ? users_.status(JobId(id)) : wrong_method();
   }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -83,7 +83,7 @@
 // The reason for a 400, or the job.
 std::variant<JobSpec, std::string> parse_submission(const std::string& body);
 
-enum class JobStatus { kQueued, kRunning, kDone, kWithdrawn };
+enum class JobStatus { kQueued, kRunning, kDone, kCancelled };
 std::string user_status(const JobId& id, JobStatus status, std::optional<TaskNo> done = {},
                         std::optional<TaskNo> running = {});
 std::string error_body(const std::string& reason);
--- a/src/protocol/records.cpp
+++ b/src/protocol/records.cpp
@@ -60,7 +60,7 @@
 
 Json to_json(const JobRecord& job) {
   Json j = {{"s", to_json(job.spec)}, {"at", job.submitted}};
-  if (job.withdrawn) j["w"] = true;
+  if (job.cancelled) j["w"] = true;
   if (job.chunk != kMostChunk) j["c"] = job.chunk;
   return j;
 }
@@ -72,7 +72,7 @@
   JobRecord job;
   job.spec = std::get<JobSpec>(std::move(spec));
   job.submitted = value.value("at", 0.0);
-  job.withdrawn = value.value("w", false);
+  job.cancelled = value.value("w", false);
   const auto chunk = value.find("c");
   if (chunk != value.end()) {
     if (!chunk->is_number_unsigned() || *chunk < 1u || *chunk > kMostChunk) return {};
@@ -142,7 +142,7 @@
 
 std::optional<JobStatus> parse_final(const Json& value) {
   if (!value.is_object()) return {};
-  return value.value("f", "") == "d" ? JobStatus::kDone : JobStatus::kWithdrawn;
+  return value.value("f", "") == "d" ? JobStatus::kDone : JobStatus::kCancelled;
 }
 
 Json to_json(const Life& life) {
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -1,6 +1,6 @@
 // What the service keeps in the state service, and what controllers tell each other.
 //
-//   s/j/<job>            a job that is not over: what it asks, and whether it was withdrawn
+//   s/j/<job>            a job that is not over: what it asks, and whether it was cancelled
 //   s/t/<job>/<chunk>    its tasks' ranges: done, and held by machines (a chunk is as many tasks as
 //                        the job's record says)
 //   s/f/<job>            a job that is over, for good
@@ -78,7 +78,7 @@
 struct JobRecord {
   JobSpec spec;
   double submitted = 0;  // by the time of day of the node that accepted it
-  bool withdrawn = false;
+  bool cancelled = false;
   TaskNo chunk = kMostChunk;  // tasks that share a record
 
   std::uint32_t chunk_of(TaskNo no) const { return no / chunk; }
--- a/src/users.cpp
+++ b/src/users.cpp
@@ -34,7 +34,7 @@
     if (const auto f = c.ledger().final_state(id)) return known_final(id, *f);
     const auto* job = c.ledger().job(id);
     if (!job) return {};
-    if (job->record.withdrawn) return known_final(id, protocol::JobStatus::kWithdrawn);
+    if (job->record.cancelled) return known_final(id, protocol::JobStatus::kCancelled);
     const auto status =
         job->held > 0 ? protocol::JobStatus::kRunning : protocol::JobStatus::kQueued;
     return Reply{200, protocol::user_status(id, status, job->done, job->held), 0};
@@ -127,7 +127,7 @@
   }
 }
 
-Reply Users::withdraw(const JobId& id, Time now) {
+Reply Users::cancel(const JobId& id, Time now) {
   for (int i = 0; i < 3; ++i) {
     if (const auto f = locked([&](auto& c) { return c.ledger().final_state(id); })) {
       return known_final(id, *f);
@@ -143,15 +143,15 @@
     }
     const auto record = protocol::parse_job(live.item.value);
     if (!record) break;
-    if (record->withdrawn) return known_final(id, protocol::JobStatus::kWithdrawn);
-    const Transaction txn = coordination::withdrawal(*record, live.item.version);
+    if (record->cancelled) return known_final(id, protocol::JobStatus::kCancelled);
+    const Transaction txn = coordination::cancellation(*record, live.item.version);
     const auto done = store_.commit(txn);
     if (done.outcome == Outcome::kRefused) break;
     if (done.outcome != Outcome::kDone) continue;  // changed meanwhile, or no answer: look again
     locked([&](coordination::Controller& c) { c.ledger().apply(txn, done.revision, now); });
-    spdlog::info("{} withdrawn", id.get());
+    spdlog::info("{} cancelled", id.get());
     store_.changed();
-    return known_final(id, protocol::JobStatus::kWithdrawn);
+    return known_final(id, protocol::JobStatus::kCancelled);
   }
   return try_later("the state service does not answer");
 }
--- a/src/users.h
+++ b/src/users.h
@@ -1,4 +1,4 @@
-// What users ask: submissions, states, withdrawals. Answered from the state service, or from final
+// What users ask: submissions, states, cancellations. Answered from the state service, or from final
 // states, which never change.
 #pragma once
 
@@ -20,7 +20,7 @@
     std::function<protocol::StateClient::Got(const std::string& key)> get;
     std::function<protocol::StateClient::Committed(const protocol::Transaction& txn)> commit;
     std::function<double()> wall;   // the time of day
-    std::function<void()> changed;  // something was accepted or withdrawn: a round is due
+    std::function<void()> changed;  // something was accepted or cancelled: a round is due
   };
   Users(const base::Settings& settings, std::mutex& mutex, coordination::Controller& controller,
         Store store)
@@ -28,7 +28,7 @@
 
   transport::Reply submit(const std::string& body, base::Time now);
   transport::Reply status(const base::JobId& id);
-  transport::Reply withdraw(const base::JobId& id, base::Time now);
+  transport::Reply cancel(const base::JobId& id, base::Time now);
 
  private:
   // The state of a job, not older than anything that any node has told; kNo: never accepted.
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -63,10 +63,10 @@
   chunk(0, {{1, one}}, 4);
   EXPECT_NE(ledger.stamp(one.machine), before);
   EXPECT_EQ(ledger.stamp(two.machine), other);
-  // A withdrawal changes what is wanted on each machine that holds a task.
-  auto withdrawn = j;
-  withdrawn.withdrawn = true;
-  ledger.apply(item(withdrawn, 5), Time{});
+  // A cancellation changes what is wanted on each machine that holds a task.
+  auto cancelled = j;
+  cancelled.cancelled = true;
+  ledger.apply(item(cancelled, 5), Time{});
   EXPECT_NE(ledger.stamp(two.machine), other);
   chunk(0, {}, 6);
   EXPECT_EQ(ledger.stamp(one.machine), 0u);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -646,22 +646,23 @@
     if (!job.accepted) continue;
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
       if (!nodes_[n].up || !nodes_[n].loaded || t_ < nodes_[n].frozen_until) continue;
-      if (job.withdraw_asked && !job.withdrawn_at && job.told_final.empty()) {
-        const auto r = nodes_[n].users->withdraw(id, now());
-        if (r.status == 200) job.withdrawn_at = t_;
+      if (job.cancel_asked && !job.cancelled_at && job.told_final.empty()) {
+        const auto r = nodes_[n].users->cancel(id, now());
+        if (r.status == 200) job.cancelled_at = t_;
       }
       const auto r = nodes_[n].users->status(id);
       if (r.status == 404) broken("forgotten: " + id.get());
       if (r.status != 200) continue;
       job.known_at = t_;
-      const std::string status = Json::parse(r.body)["status"];
+      std::string status = Json::parse(r.body)["status"];
+      if (status == "withdrawn") status = "cancelled";  // the wire's word for it
       if (!job.told_final.empty() && status != job.told_final) {
         broken("went_back: " + id.get() + " from " + job.told_final + " to " + status);
       }
       if (status == "done" && job.done.size() < job.spec.tasks) broken("not_done: " + id.get());
-      if (status == "withdrawn" && !job.withdraw_asked)
-        broken("went_back: " + id.get() + " withdrawn by nobody");
-      if (status == "done" || status == "withdrawn") job.told_final = status;
+      if (status == "cancelled" && !job.cancel_asked)
+        broken("went_back: " + id.get() + " cancelled by nobody");
+      if (status == "done" || status == "cancelled") job.told_final = status;
     }
   }
   for (const auto& [id, job] : jobs_) {
@@ -684,7 +685,7 @@
       for (const Task& a : attempts) {
         if (a.state != "running") continue;
         use[job->second.spec.team] += job->second.spec.need.cores();
-        if (job->second.withdrawn_at && t_ > *job->second.withdrawn_at + cancel_s_) {
+        if (job->second.cancelled_at && t_ > *job->second.cancelled_at + cancel_s_) {
           broken("ran_cancelled: " + task.job.get() + "/" + std::to_string(task.no));
           return;
         }
@@ -837,8 +838,8 @@
     job.run = option("run", 10);
     job.submitted = job.known_at = t_;
     submit(static_cast<std::size_t>(option("node", 0)), jobs_[job.spec.id] = job);
-  } else if (word == "withdraw") {
-    jobs_.at(JobId(arg())).withdraw_asked = true;
+  } else if (word == "cancel") {
+    jobs_.at(JobId(arg())).cancel_asked = true;
     next_poll_ = 0;
   } else if (word == "repeat") {
     // repeat <times> <every> <command>: # stands for a number of its own.
@@ -915,7 +916,7 @@
     watch_lag_[n] = std::stod(arg());
   } else if (word == "expect") {
     const std::string what = arg();
-    if (what == "done" || what == "withdrawn") {
+    if (what == "done" || what == "cancelled") {
       const JobSim& job = jobs_.at(JobId(arg()));
       if (job.told_final != what)
         broken("expected " + what + ": " + job.spec.id.get() + " is '" + job.told_final + "'");
@@ -947,7 +948,7 @@
         most = std::max(most, job.spec.tasks);
       }
       for (const auto& [id, job] : jobs_) {
-        if (job.withdraw_asked) continue;
+        if (job.cancel_asked) continue;
         std::vector<std::string> of = {"class " + job.spec.job_class, "team " + job.spec.team};
         if (job.spec.tasks == largest[job.spec.job_class])
           of.push_back("the largest of class " + job.spec.job_class);
--- a/tests/world.h
+++ b/tests/world.h
@@ -7,14 +7,14 @@
 //   team NAME LEAST MOST | operators SETTING: VALUE | nodes N | capacity TYPE N      (nodes after both)
 //   machine ID TYPE ZONE [spot] | machines N TYPE ZONE                       (TYPE: small, big)
 //   submit ID KIND tasks= cores= memory= run= rank= team= class= deadline= estimate= node= type= zone=
-//     spot one_zone spread | withdraw ID | repeat N EVERY COMMAND (# in it: a number of its own)
+//     spot one_zone spread | cancel ID | repeat N EVERY COMMAND (# in it: a number of its own)
 //   run SECONDS
 //   crash NODE [BACK_AFTER] | freeze NODE SECONDS | cut A B | mend A B (nodes, state, workers, a machine,
 //     a zone) | state up|down | cloud up|down
 //   die|hang|wake|sick|deaf|hears ID | some EVERY die|hang|wake | reboot ID SECONDS | notice ID SECONDS
 //   copies ID SECONDS | hold_orders SECONDS | lose_orders on|off | repeat_orders on|off
 //   lose_commit NODE | late_commit NODE SECONDS | watch_lag NODE SECONDS
-//   expect done|withdrawn ID | running ID N | began ID WITHIN | served | gone MACHINE | machines N
+//   expect done|cancelled ID | running ID N | began ID WITHIN | served | gone MACHINE | machines N
 //     | most_starts N | most_views N | most_releases N | submit STATUS BODY
 #pragma once
 
@@ -101,8 +101,8 @@
   struct JobSim {
     protocol::JobSpec spec;
     double run = 10;
-    bool accepted = false, withdraw_asked = false;
-    std::optional<double> withdrawn_at;
+    bool accepted = false, cancel_asked = false;
+    std::optional<double> cancelled_at;
     std::string told_final;
     double submitted = 0, known_at = 0;  // when a question about it was last answered
     std::optional<double> began;
