A record read before its job stays; authority needs a copy as new as the renewal

A job accepted and started in between had a record there and no job: it was taken for the leftover of a job that is over, its version was remembered, so the watch's copy was dropped, and it was swept. Its task started again while it ran.

Also, for the gap: authority needs a copy of the jobs that was proved current after the renewal (a look at the changes in place of the view alone), a confirmed cancellation is told to siblings at once, which stops and holds back starts, and starts that wait in a queue are looked at again before they go. What was never started is worked out anew with each view. The runner counts starts commanded after a confirmation.

--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -30,6 +30,17 @@
   if (gone != removed_.end() && item.version <= gone->second) return false;
 
   const bool removal = item.value.is_null();
+  if (key.starts_with(protocol::kChunks) && !removal) {
+    // Read before its job: while all is read, jobs come first, and one that is accepted meanwhile is
+    // not among them. Its version is not kept, so that the watch brings the record again, after the
+    // job; kept, the job would seem to have no record, and its tasks would start a second time.
+    const auto name = protocol::parse_chunk_key(key);
+    if (!name || !job_index_.contains(name->job)) {
+      Version& orphan = orphans_[key];
+      orphan = std::max(orphan, item.version);
+      return true;
+    }
+  }
   if (removal) {
     if (known != versions_.end()) versions_.erase(known);
     if (item.version.get() > revision_.get()) removed_[key] = item.version;
@@ -116,9 +127,7 @@
   if (at != jobs_.end()) {
     at->second.record = std::move(*record);
     at->second.version = item.version;
-    for (const Chunk& c : at->second.chunks) {
-      for (const auto& [no, held] : c.record.held) stamps_[held.machine] = ++last_stamp_;
-    }
+    stamp_holders(at->second);
     return;
   }
   Job job;
@@ -128,22 +137,32 @@
   job.chunks.resize(job.record.chunks());
   for (std::size_t c = 0; c < job.chunks.size(); ++c) {
     job.chunks[c].record.done.assign(job.chunk_size(c), false);
+    orphans_.erase(protocol::chunk_key(id, static_cast<std::uint32_t>(c)));
   }
   job_index_[id] = &jobs_.emplace(id, std::move(job)).first->second;
 }
 
+void Ledger::told_cancelled(const JobId& id) {
+  const auto at = jobs_.find(id);
+  if (at == jobs_.end() || at->second.cancelled()) return;
+  at->second.told_cancelled = true;
+  ++job_changes_;
+  stamp_holders(at->second);
+}
+
+// What is wanted on each machine that holds a task of the job has changed.
+void Ledger::stamp_holders(const Job& job) {
+  for (const Chunk& c : job.chunks) {
+    for (const auto& [no, held] : c.record.held) stamps_[held.machine] = ++last_stamp_;
+  }
+}
+
 void Ledger::put_chunk(const Item& item, Time now) {
   const auto name = protocol::parse_chunk_key(item.key);
   if (!name) return;
+  orphans_.erase(item.key);
   const auto at = jobs_.find(name->job);
-  if (at == jobs_.end() || name->chunk >= at->second.chunks.size()) {
-    if (item.value.is_null()) {
-      orphans_.erase(item.key);
-    } else {
-      orphans_[item.key] = item.version;
-    }
-    return;
-  }
+  if (at == jobs_.end() || name->chunk >= at->second.chunks.size()) return;
   Job& job = at->second;
   Chunk& chunk = job.chunks[name->chunk];
   auto record =
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -47,12 +47,17 @@
   TaskNo held = 0;
   Time seen{};   // when this process first saw it
   Time moved{};  // when a task of it last began or ended, as far as this process saw
+  // Another controller has told that its cancellation is committed; the copy does not show it yet.
+  bool told_cancelled = false;
+
+  // Nothing of it is to run any more. What is put on record goes by the record alone.
+  bool cancelled() const { return record.cancelled || told_cancelled; }
 
   TaskNo chunk_first(std::size_t c) const { return static_cast<TaskNo>(c) * record.chunk; }
   TaskNo chunk_size(std::size_t c) const {
     return std::min(record.chunk, record.spec.tasks - chunk_first(c));
   }
-  TaskNo pending() const { return record.cancelled ? 0 : record.spec.tasks - done - held; }
+  TaskNo pending() const { return cancelled() ? 0 : record.spec.tasks - done - held; }
   bool is_done(TaskNo no) const {
     const auto& c = chunks[record.chunk_of(no)];
     return c.record.done[no % record.chunk];
@@ -72,6 +77,9 @@
   bool apply(const Item& item, Time now);
   // All that a transaction wrote, which was committed at this revision.
   void apply(const protocol::Transaction& txn, Revision committed, Time now);
+  // Another controller's word that the job's cancellation is committed. It stops and holds back
+  // starts, and is put on no record; what it names may be unknown here.
+  void told_cancelled(const JobId& id);
   // The watch (or the first load) has told everything up to here.
   void caught_up(Revision revision);
   Revision revision() const { return revision_; }
@@ -109,6 +117,7 @@
   // Takes a task's holder out of the books, or puts it in.
   void count(const Job& job, TaskNo no, const Held& held, int sign);
   void uncount(const Job& job);
+  void stamp_holders(const Job& job);
 
   const base::Settings& settings_;
   std::map<JobId, Job> jobs_;
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -46,12 +46,17 @@
   lease_until_ = Time{};
 }
 
-void Controller::renewed(Time sent, Version view) {
-  // Counted from when the renewal was sent, on a clock that may run slow against the store's.
-  const Time until = base::after(sent, settings_.tuning.member_ttl * (1.0 - base::kDrift));
-  lease_until_ = std::max(lease_until_, until);
-  authority_until_ = until;
-  authority_view_ = view;
+void Controller::lease_taken(Time sent) {
+  // Counted from when the call was sent, on a clock that may run slow against the store's. The full
+  // time that an outage gives back to leases is not counted on.
+  lease_until_ =
+      std::max(lease_until_, base::after(sent, settings_.tuning.member_ttl * (1.0 - base::kDrift)));
+}
+
+void Controller::renewed(Time sent) {
+  lease_taken(sent);
+  authority_until_ = base::after(sent, settings_.tuning.member_ttl * (1.0 - base::kDrift));
+  authority_view_ = ledger_.version(protocol::kViewKey);
 }
 
 bool Controller::entitled(Time now) const {
@@ -118,6 +123,9 @@
     return true;
   });
   std::erase_if(owned_since_, [&](const auto& m) { return !in_a_row || !owns(m.first); });
+  // What was never started here may have been started by another owner meanwhile: one that did not
+  // know that the task was to be stopped. Kept, it let a task start while it ran on its machine.
+  absent_.clear();
   for (auto& [id, m] : machines_) {
     m.token = base;
     m.floor = base;
@@ -457,7 +465,7 @@
       const Job* job = ledger_.job(task.job);
       // Nor is it started any more: not wanted, or stopped before it began. Without this the latter
       // would be held for ever by a machine that has never heard of it.
-      const bool unwanted = job && (job->record.cancelled || m.evict.contains(task));
+      const bool unwanted = job && (job->cancelled() || m.evict.contains(task));
       if (unwanted && held.session == report.session && !report.tasks.contains(task)) {
         absent_[task] = held.attempt;
       }
@@ -474,10 +482,9 @@
     for (const auto& t : attempts) {
       if (t.state == protocol::TaskState::kEnded) continue;
       const bool ours = h != held.end() && h->second.attempt == t.attempt;
-      const bool wanted = ours && job && !job->record.cancelled && !m.evict.contains(task);
+      const bool wanted = ours && job && !job->cancelled() && !m.evict.contains(task);
       if (wanted) continue;
-      const bool save =
-          ours && job && !job->record.cancelled && job->record.spec.checkpoint.count() > 0;
+      const bool save = ours && job && !job->cancelled() && job->record.spec.checkpoint.count() > 0;
       if (t.state == protocol::TaskState::kSaving && save) continue;
       out.push_back({Command::Op::kKill, task, t.attempt,
                      save ? job->record.spec.save + Seconds(1.0) : Seconds(0)});
@@ -506,7 +513,7 @@
   for (const auto& [task, h] : held) {
     if (h.session != m.last.session || m.evict.contains(task)) continue;
     const Job* job = ledger_.job(task.job);
-    if (!job || job->record.cancelled) continue;
+    if (!job || job->cancelled()) continue;
     const auto reported = m.last.tasks.find(task);
     const bool known = reported != m.last.tasks.end() &&
                        std::any_of(reported->second.begin(), reported->second.end(),
@@ -516,6 +523,15 @@
   return out;
 }
 
+bool Controller::still_due(Order& order, Time now) const {
+  if (!entitled(now)) return false;
+  std::erase_if(order.commands, [this](const Command& c) {
+    const Job* job = ledger_.job(c.task.job);
+    return c.op == Command::Op::kRun && (!job || job->cancelled());
+  });
+  return !order.commands.empty();
+}
+
 void Controller::order_lost(const MachineId& machine) {
   if (const auto at = machines_.find(machine); at != machines_.end()) at->second.order_lost = true;
 }
@@ -596,7 +612,7 @@
            t->cause == protocol::Cause::kDone && spec.kind != protocol::Kind::kService});
     } else {
       const auto absent = absent_.find(task);
-      if (absent != absent_.end() && absent->second == h.attempt) {
+      if (!t && absent != absent_.end() && absent->second == h.attempt) {
         o.over.push_back({task, "never started", false});
       }
       o.free -= spec.need;
@@ -810,7 +826,7 @@
   std::vector<std::pair<double, const Job*>> jobs;
   for (const auto& [id, job] : ledger_.jobs()) {
     const auto& spec = job.record.spec;
-    if (spec.kind != protocol::Kind::kArray || !spec.deadline || job.record.cancelled ||
+    if (spec.kind != protocol::Kind::kArray || !spec.deadline || job.cancelled() ||
         job.done >= spec.tasks) {
       continue;
     }
@@ -975,7 +991,7 @@
     for (const auto& [machine, tasks] : ledger_.held()) {
       for (const auto& [task, held] : tasks) {
         const Job* job = ledger_.job(task.job);
-        if (job && job->record.spec.kind == protocol::Kind::kService && !job->record.cancelled) {
+        if (job && job->record.spec.kind == protocol::Kind::kService && !job->cancelled()) {
           in.movable[machine].push_back(&job->record.spec);
         }
       }
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -90,8 +90,11 @@
   // A lease was taken: a new life. Until the view names it, nothing may be done.
   void begin_life(Life life, Time now);
   const Life& self() const { return self_; }
-  // The lease was renewed by a call sent at `sent`, and the store's view then had this version.
-  void renewed(Time sent, Version view);
+  // The lease of this life was taken by a call sent at `sent`.
+  void lease_taken(Time sent);
+  // The lease was renewed by a call sent at `sent`, and the ledger was proved current after that: it
+  // holds all that was committed before the call, cancellations and views.
+  void renewed(Time sent);
   void end_life();
   // May this process answer workers and give them orders now?
   bool entitled(Time now) const;
@@ -118,6 +121,13 @@
     wall_offset_ = wall_now - base::between(Time{}, now).count();
   }
 
+  // Another controller's word that this job's cancellation is committed, ahead of the watch, which may
+  // be silent here: the state service may refuse this node alone, and its authority, that lasts for a
+  // moment yet, must not be used to start the job's tasks.
+  void told_cancelled(const JobId& id) { ledger_.told_cancelled(id); }
+  // May the order still go out? Takes out the starts of what was cancelled since it was made.
+  bool still_due(Order& order, Time now) const;
+
   // --- rounds
   void add_offers(const protocol::Offers& offers, Time now);
   // A job was accepted here: its first offers are made here, not by its home, which may be down.
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -98,7 +98,7 @@
   }
   std::map<std::string, std::vector<const Job*>> by_team;
   for (const auto& [id, job] : ledger_.jobs()) {
-    if (!job.record.cancelled) by_team[job.record.spec.team].push_back(&job);
+    if (!job.cancelled()) by_team[job.record.spec.team].push_back(&job);
   }
   for (auto& [name, jobs] : by_team) {
     const auto team = settings_.teams.find(name);
@@ -292,7 +292,7 @@
 // at once where it is started again, since its result is kept.
 bool Controller::can_wait(const RoundPlan::End& end, const std::set<TaskId>& ended, Time now) {
   const Job* job = ledger_.job(end.task.job);
-  if (!end.done || !job || job->record.cancelled) return false;
+  if (!end.done || !job || job->cancelled()) return false;
   const Time seen = end_seen_.try_emplace(end.task, now).first->second;
   if (base::between(seen, now) > settings_.tuning.record_within) return false;
   // A team near its limit waits for the room that the record still counts.
@@ -389,7 +389,7 @@
   std::map<JobId, std::size_t> index;
   for (const PoolEntry& p : pool_) {
     const Job* job = ledger_.job(p.job);
-    if (!job || job->record.cancelled) continue;
+    if (!job || job->cancelled()) continue;
     if (pace == Pace::kUrgent && tier_of(*job) > kLastUrgentTier) continue;
     const auto [at, is_new] = index.try_emplace(p.job, waiting.size());
     if (is_new) waiting.push_back({job, {}, {}, true});
@@ -701,7 +701,7 @@
         std::vector<Victim> candidates;
         for (const auto& [task, held] : ledger_.held_by(id)) {
           const Job* other = ledger_.job(task.job);
-          if (!other || other->record.cancelled || m.evict.contains(task) ||
+          if (!other || other->cancelled() || m.evict.contains(task) ||
               reported_over(m, task, held) || !may_stop(*other)) {
             continue;
           }
@@ -949,6 +949,9 @@
     if (!home || *home != self_) continue;
     if (txn.writes.size() >= settings_.txn_ops) break;
     txn.guards[key] = version;
+    // Only what belongs to no job: one that this copy has not heard of yet is not over.
+    if (const auto name = protocol::parse_chunk_key(key))
+      txn.guards[protocol::job_key(name->job)] = Version(0);
     txn.writes.push_back({key, {}, {}});
   }
   if (txn.writes.empty()) return {};
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -27,6 +27,7 @@
 constexpr double kUrgentDebt = 0.4;  // seconds' worth of writes that urgent work may run ahead
 constexpr double kPlenty = 0.6;      // seconds' worth saved up: records that could wait go too
 constexpr std::size_t kMostOrders = 512;
+constexpr std::size_t kMostTold = 1024;  // cancellations that a sibling has not taken
 // An answer of changes that were missed takes several times its size once it is parsed.
 constexpr std::size_t kChangesShare = 32;
 constexpr std::size_t kMostOrphans = 4000;  // records kept for later removal
@@ -42,6 +43,17 @@
   std::this_thread::sleep_for(s);
 }
 
+// The names in an array of that field; none if it is missing or something else.
+template <class Id>
+std::vector<Id> names(const Json& at, const char* field) {
+  std::vector<Id> out;
+  if (!at.is_object() || !at.contains(field) || !at.at(field).is_array()) return out;
+  for (const Json& id : at.at(field)) {
+    if (id.is_string()) out.emplace_back(id.get<std::string>());
+  }
+  return out;
+}
+
 transport::Reply error(int status, const std::string& reason, int retry_after_s = 0) {
   return {status, protocol::error_body(reason), retry_after_s};
 }
@@ -75,7 +87,8 @@
              {[this] { return prove_current(); },
               [this](const std::string& key) { return users_store_.get(key, kUserCall); },
               [this](const Transaction& txn) { return users_store_.commit(txn, kStateCall); },
-              [] { return base::wall_seconds(); }, [this] { round_bell_.ring(); }}) {
+              [] { return base::wall_seconds(); }, [this] { round_bell_.ring(); },
+              [this](const JobId& id) { tell_cancelled(id); }}) {
   for (const base::Sibling& s : settings_.siblings) {
     siblings_.push_back(std::make_unique<Sibling>(s));
   }
@@ -191,11 +204,13 @@
       if (auto parsed = protocol::parse_offers(o)) offers.push_back(std::move(*parsed));
     }
   }
+  const auto cancelled = names<JobId>(body, "cancelled");
   const auto said = locked([&](coordination::Controller& c) {
     for (const auto& o : offers) c.add_offers(o, now());
+    for (const JobId& id : cancelled) c.told_cancelled(id);
     return c.heard_status(*status, now());
   });
-  if (!offers.empty()) round_bell_.ring();
+  if (!offers.empty() || !cancelled.empty()) round_bell_.ring();
   Json gone = Json::array(), close = Json::array(), drain = Json::array();
   for (const auto& id : said.gone) gone.push_back(id.get());
   for (const auto& id : said.close) close.push_back(id.get());
@@ -209,14 +224,28 @@
           0};
 }
 
+// Best effort: that a cancelled task is gone in time rests on the end of authority and of leases.
+void Node::tell_cancelled(const JobId& id) {
+  for (auto& s : siblings_) {
+    {
+      const std::lock_guard lock(s->mutex);
+      s->cancelled.push_back(id);
+      if (s->cancelled.size() > kMostTold) s->cancelled.pop_front();
+    }
+    s->bell.ring();
+  }
+}
+
 void Node::tell_sibling(Sibling& sibling) {
   const Seconds period = settings_.tuning.round_period * 0.7;
   for (;;) {
     sibling.bell.wait(period);
     std::vector<protocol::Offers> offers;
+    std::deque<JobId> cancelled;
     {
       const std::lock_guard lock(sibling.mutex);
       offers.swap(sibling.offers);
+      cancelled = sibling.cancelled;
     }
     const auto status = locked([&](auto& c) { return c.status(sibling.id, now()); });
     Json body = {{"status", to_json(status, now())}};
@@ -224,6 +253,10 @@
       body["offers"] = Json::array();
       for (const auto& o : offers) body["offers"].push_back(to_json(o));
     }
+    if (!cancelled.empty()) {
+      body["cancelled"] = Json::array();
+      for (const JobId& id : cancelled) body["cancelled"].push_back(id.get());
+    }
     const auto answer = sibling.http.post("/sibling", body.dump(), Seconds(1.0));
     if (!answer.ok()) {
       if (!offers.empty()) {
@@ -233,16 +266,16 @@
       pause(kShortPause);
       continue;
     }
-    const Json said = Json::parse(answer.body, nullptr, false);
-    const auto ids = [&said](const char* field) {
-      std::vector<base::MachineId> out;
-      if (said.is_object() && said.contains(field) && said.at(field).is_array()) {
-        for (const Json& id : said.at(field)) {
-          if (id.is_string()) out.emplace_back(id.get<std::string>());
-        }
+    if (!cancelled.empty()) {
+      // Those that came meanwhile stand behind them, unless the bound took some.
+      const std::lock_guard lock(sibling.mutex);
+      while (!sibling.cancelled.empty() && !cancelled.empty()) {
+        if (sibling.cancelled.front() == cancelled.front()) sibling.cancelled.pop_front();
+        cancelled.pop_front();
       }
-      return out;
-    };
+    }
+    const Json said = Json::parse(answer.body, nullptr, false);
+    const auto ids = [&said](const char* field) { return names<base::MachineId>(said, field); };
     const auto gone = ids("gone");
     const bool again = !said.is_object() || said.value("again", true);
     if (again) sibling.bell.ring();
@@ -290,7 +323,7 @@
       controller_.begin_life(life, now());
       controller_.ledger().apply(
           {key, to_json(protocol::Member{life, false}), Version(done.revision.get())}, now());
-      controller_.renewed(sent, Version(0));
+      controller_.lease_taken(sent);
       spdlog::info("member {} begins life {}", life.member.get(), life.life.get());
       for (auto& s : siblings_) s->bell.ring();
     }
@@ -305,13 +338,11 @@
       continue;
     }
     if (renewed == StateClient::Renewed::kYes) {
-      const auto view = state_.get(protocol::kViewKey, timeout);
-      if (view.answered) {
-        locked([&](coordination::Controller& c) {
-          c.renewed(sent, view.item.version);
-          c.follow(now());
-        });
-      }
+      locked([&](coordination::Controller& c) { c.lease_taken(sent); });
+      // Authority to command needs more than the present view: a copy of the jobs that is as new as
+      // the renewal. After an outage the renewal is answered before the watch has said anything, and
+      // a job that was cancelled elsewhere meanwhile would be started again.
+      if (catch_up(timeout)) locked([&](coordination::Controller& c) { c.renewed(sent); });
     }
     const auto txn = locked([&](auto& c) { return c.tend_view(now(), *lease); });
     if (txn) {
@@ -417,7 +448,7 @@
     const std::uint64_t n = ++proofs_begun_;
     proof_at_ = now();
     lock.unlock();
-    const bool held = catch_up();
+    const bool held = catch_up(kUserCall);
     lock.lock();
     proof_held_ = held;
     proofs_done_ = n;
@@ -427,10 +458,10 @@
   return proof_held_;
 }
 
-bool Node::catch_up() {
+bool Node::catch_up(Seconds timeout) {
   if (!loaded_) return false;
   const auto after = locked([](auto& c) { return c.ledger().revision(); });
-  const auto w = state_.changes(protocol::kAll, after, kUserCall);
+  const auto w = state_.changes(protocol::kAll, after, timeout);
   return w.what == StateClient::Watched::What::kEvents && take_in(w);
 }
 
@@ -627,7 +658,7 @@
       o = std::move(orders_.front());
       orders_.pop_front();
     }
-    if (!locked([](auto& c) { return c.entitled(now()); })) continue;
+    if (!locked([&](auto& c) { return c.still_due(o, now()); })) continue;
     const auto a = workers_.order(o.address, o.token, o.session, o.commands, kOrderCall);
     if (a.sent != transport::Sent::kYes) {
       spdlog::info("order to {} was not answered", o.machine.get());
--- a/src/node.h
+++ b/src/node.h
@@ -50,13 +50,14 @@
     bool is_rung_ = false;
   };
 
-  // What one sibling is told: offers at once, status regularly.
+  // What one sibling is told: offers and cancellations at once, status regularly.
   struct Sibling {
     explicit Sibling(base::Sibling s) : id(s.member), http(s.address, 2) {}
     base::MemberId id;
     transport::HttpClient http;
     std::mutex mutex;
     std::vector<protocol::Offers> offers;
+    std::deque<base::JobId> cancelled;  // not yet told; bounded
     Bell bell;
   };
 
@@ -69,6 +70,7 @@
   // Siblings
   Reply serve_sibling(const Request& req);
   void tell_sibling(Sibling& sibling);
+  void tell_cancelled(const base::JobId& id);
 
   // Loops
   void beat();
@@ -108,7 +110,7 @@
   // One look at the store's changes serves all polls that came before it began: it proves this
   // process's copy current, or makes it so.
   bool prove_current();
-  bool catch_up();
+  bool catch_up(Seconds timeout);
   // False: it came too late for a copy that was begun anew meanwhile.
   bool take_in(const protocol::StateClient::Watched& w);
   std::mutex proof_mutex_;
--- a/src/users.cpp
+++ b/src/users.cpp
@@ -150,6 +150,7 @@
     if (done.outcome != Outcome::kDone) continue;  // changed meanwhile, or no answer: look again
     locked([&](coordination::Controller& c) { c.ledger().apply(txn, done.revision, now); });
     spdlog::info("{} cancelled", id.get());
+    store_.cancelled(id);
     store_.changed();
     return known_final(id, protocol::JobStatus::kCancelled);
   }
--- a/src/users.h
+++ b/src/users.h
@@ -21,6 +21,9 @@
     std::function<protocol::StateClient::Committed(const protocol::Transaction& txn)> commit;
     std::function<double()> wall;   // the time of day
     std::function<void()> changed;  // something was accepted or cancelled: a round is due
+    // A cancellation was committed, and its user is about to be told: the other controllers are told
+    // at once, since one of them may hear nothing from the state service.
+    std::function<void(const base::JobId& id)> cancelled;
   };
   Users(const base::Settings& settings, std::mutex& mutex, coordination::Controller& controller,
         Store store)
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -39,6 +39,25 @@
   EXPECT_EQ(ledger.job(j.spec.id), nullptr);
 }
 
+// Jobs are read before the records of their tasks: a job that is accepted in between comes with the
+// watch, and its record, which was read already, must not be lost with it.
+TEST(Ledger, ARecordReadBeforeItsJobIsTakenWithTheWatch) {
+  const base::Settings settings;
+  Ledger ledger(settings);
+  const auto j = job("run-000001", 4);
+  ChunkRecord r;
+  r.done.assign(4, false);
+  r.held = {{0, {MachineId("i-1"), Attempt(1), base::Session(1)}}};
+  const Item record{protocol::chunk_key(j.spec.id, 0), to_json(r, 0), Version(7)};
+  ledger.apply(record, Time{});
+  EXPECT_EQ(ledger.orphans().size(), 1u);
+  ledger.caught_up(Revision(4));
+  ledger.apply(item(j, 5), Time{});
+  EXPECT_TRUE(ledger.orphans().empty());
+  EXPECT_TRUE(ledger.apply(record, Time{}));
+  EXPECT_EQ(ledger.job(j.spec.id)->held, 1u);
+}
+
 TEST(Ledger, KeepsItsFiguresWithTheRecords) {
   const base::Settings settings;
   Ledger ledger(settings);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -197,6 +197,19 @@
   }
 }
 
+void World::check_command(std::size_t n, const TaskId& task) {
+  const auto job = jobs_.find(task.job);
+  if (job == jobs_.end() || !job->second.cancelled_at) return;
+  bool hears = state_reachable(n);
+  for (std::size_t m = 0; m < nodes_.size(); ++m) {
+    hears = hears || (m != n && nodes_[m].up && !cut(name(n), name(m)));
+  }
+  const double since = t_ - *job->second.cancelled_at;
+  if (since > (hears ? 0 : nodes_[n].settings.tuning.member_ttl.count()))
+    broken("ran_cancelled: " + name(n) + " commands a start of " + task.job.get() + " " +
+           std::to_string(since) + " s after its cancellation was confirmed");
+}
+
 void World::execute(Worker& w, const std::vector<Command>& commands) {
   for (const Command& c : commands) {
     auto& attempts = w.tasks[c.task];
@@ -288,6 +301,7 @@
     cmd.task = {JobId(stride.substr(0, slash)),
                 static_cast<TaskNo>(std::stoul(stride.substr(slash + 1)))};
     cmd.attempt = base::Attempt(c["remount"].get<std::uint64_t>());
+    if (cmd.op == Command::Op::kRun) check_command(n, cmd.task);
     commands.push_back(cmd);
   }
   execute(w, commands);
@@ -375,23 +389,47 @@
       Users::Store{[this, n] { return catch_up(n); },
                    [this, n](const std::string& key) { return get(n, key); },
                    [this, n](const protocol::Transaction& txn) { return commit(n, txn); },
-                   [this] { return 1000 + t_; }, [this, n] { nodes_[n].rung = true; }});
+                   [this] { return 1000 + t_; }, [this, n] { nodes_[n].rung = true; },
+                   [this, n](const JobId& id) { tell_cancelled(n, id); }});
   node.up = true;
   node.loaded = false;
   node.lease.reset();
   node.next_beat = node.next_round = node.next_tell = node.next_fleet = node.busy_until = 0;
-  node.back_at = -1;
+  node.back_at = node.records_at = -1;
+}
+
+void World::tell_cancelled(std::size_t n, const JobId& id) {
+  for (std::size_t m = 0; m < nodes_.size(); ++m) {
+    if (m == n || !nodes_[m].up || !nodes_[m].loaded || t_ < nodes_[m].frozen_until ||
+        cut(name(n), name(m))) {
+      continue;
+    }
+    nodes_[m].controller->told_cancelled(id);
+    nodes_[m].rung = true;
+  }
 }
 
 void World::load(std::size_t n) {
   if (!state_reachable(n)) return;
-  auto& ledger = nodes_[n].controller->ledger();
-  for (const auto& [key, k] : store_) {
-    if (key.compare(0, protocol::kFinals.size(), protocol::kFinals) == 0) continue;
-    ledger.apply({key, k.value, base::Version(k.version)}, now());
+  NodeSim& node = nodes_[n];
+  auto& ledger = node.controller->ledger();
+  const auto read = [&](bool records) {
+    for (const auto& [key, k] : store_) {
+      if (key.starts_with(protocol::kFinals) || key.starts_with(protocol::kChunks) != records)
+        continue;
+      ledger.apply({key, k.value, base::Version(k.version)}, now());
+    }
+  };
+  if (node.records_at < 0) {
+    read(false);
+    node.load_from = revision_;
+    node.records_at = t_ + node.load_takes;
   }
-  ledger.caught_up(base::Revision(revision_));
-  nodes_[n].loaded = true;
+  if (t_ < node.records_at) return;
+  read(true);
+  ledger.caught_up(base::Revision(node.load_from));
+  node.records_at = -1;
+  node.loaded = true;
 }
 
 void World::take_in(std::size_t n, double lag) {
@@ -454,8 +492,8 @@
   }
   node.controller->tell_time(now(), 1000 + t_);
   lease->second.until = t_ + ttl.count();
-  node.controller->renewed(now(), get(n, protocol::kViewKey).item.version);
-  node.controller->follow(now());
+  node.controller->lease_taken(now());
+  if (catch_up(n)) node.controller->renewed(now());
   if (const auto txn = node.controller->claim(now())) commit(n, *txn);
   if (const auto txn = node.controller->tend_view(now(), *node.lease)) {
     const auto done = commit(n, *txn);
@@ -478,6 +516,9 @@
   node.next_round = t_ + node.settings.tuning.round_period.count();
   const auto send = [&](std::vector<coordination::Order> orders) {
     for (auto& o : orders) {
+      for (const Command& command : o.commands) {
+        if (command.op == Command::Op::kRun) check_command(n, command.task);
+      }
       if (lose_orders_) continue;
       if (t_ < hold_orders_until_) {
         late_.push_back({hold_orders_until_, o.machine.get(), o, n});
@@ -908,6 +949,9 @@
     repeat_orders_ = arg() == "on";
   } else if (word == "lose_commit") {
     lose_commit_.insert(index(arg()));
+  } else if (word == "slow_load") {
+    const std::size_t n = index(arg());
+    nodes_[n].load_takes = std::stod(arg());
   } else if (word == "late_commit") {
     const std::size_t n = index(arg());
     late_commit_[n] = std::stod(arg());
--- a/tests/world.h
+++ b/tests/world.h
@@ -13,6 +13,7 @@
 //     a zone) | state up|down | cloud up|down
 //   die|hang|wake|sick|deaf|hears ID | some EVERY die|hang|wake | reboot ID SECONDS | notice ID SECONDS
 //   copies ID SECONDS | hold_orders SECONDS | lose_orders on|off | repeat_orders on|off
+//   slow_load NODE SECONDS (between reading the jobs and reading their tasks' records)
 //   lose_commit NODE | late_commit NODE SECONDS | watch_lag NODE SECONDS
 //   expect done|cancelled ID | running ID N | began ID WITHIN | served | gone MACHINE | machines N
 //     | most_starts N | most_views N | most_releases N | submit STATUS BODY
@@ -96,6 +97,9 @@
     std::optional<base::LeaseId> lease;
     double next_beat = 0, next_round = 0, next_tell = 0, next_fleet = 0, busy_until = 0;
     double back_at = -1, frozen_until = -1;
+    double load_takes = 0,
+           records_at = -1;  // a load that is under way reads the tasks' records then
+    std::uint64_t load_from = 0;
     std::uint64_t hires = 0;
   };
   struct JobSim {
@@ -134,6 +138,7 @@
   void step_node(std::size_t n);
   void beat(std::size_t n);
   void load(std::size_t n);
+  void tell_cancelled(std::size_t n, const JobId& id);
   void take_in(std::size_t n, double lag);
   bool catch_up(std::size_t n);
   void round(std::size_t n);
@@ -145,6 +150,9 @@
   void submit(std::size_t node, JobSim& job);
   void poll();
   void check_start(const Worker& w, const TaskId& task);
+  // No controller may command a start of what was confirmed as cancelled. One that hears neither the
+  // state service nor any other controller has until its authority ends.
+  void check_command(std::size_t n, const TaskId& task);
   void check_rules();
   bool troubled() const;
   void broken(const std::string& what);
