--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -15,7 +15,10 @@
 
 constexpr double kStep = 0.05;
 constexpr double kPull = 0.5;
-constexpr double kForgottenAfter = 75;  // the operators' end-of-day check, a job at a time
+// The operators' checks of a whole day.
+constexpr double kForgottenAfter = 75;
+constexpr double kLeftWaitingAfter = 90;
+constexpr double kServedWithin = 240;
 
 std::string name(std::size_t n) {
   return "n" + std::to_string(n);
@@ -686,7 +689,8 @@
     if (!job.accepted) submit(0, job);
     if (!job.accepted) continue;
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
-      if (!nodes_[n].up || !nodes_[n].loaded || t_ < nodes_[n].frozen_until) continue;
+      if (!nodes_[n].up || !nodes_[n].loaded || t_ < nodes_[n].frozen_until || unasked_.contains(n))
+        continue;
       if (job.cancel_asked && !job.cancelled_at && job.told_final.empty()) {
         const auto r = nodes_[n].users->cancel(id, now());
         if (r.status == 200) job.cancelled_at = t_;
@@ -706,12 +710,13 @@
       if (status == "done" || status == "cancelled") job.told_final = status;
     }
   }
+  check_waiting();
   for (const auto& [id, job] : jobs_) {
     if (job.accepted && t_ - std::max(job.known_at, troubles_over_) > kForgottenAfter)
       broken("forgotten: no question about " + id.get() + " is answered");
   }
   for (std::size_t n = 0; n < nodes_.size(); ++n) {
-    if (!nodes_[n].up || !nodes_[n].loaded) continue;
+    if (!nodes_[n].up || !nodes_[n].loaded || unasked_.contains(n)) continue;
     if (nodes_[n].users->status(JobId("run-999999")).status == 200) broken("invented: run-999999");
   }
 }
@@ -742,6 +747,79 @@
   }
 }
 
+// Is a task of a job left waiting though a machine that fits has room and its team is under its limit?
+void World::check_waiting() {
+  std::map<std::string, double> team_use;
+  std::map<std::string, double> used;
+  std::map<JobId, std::set<TaskNo>> on;  // on a machine, or ended there
+  for (const auto& [id, w] : workers_) {
+    for (const auto& [task, attempts] : w.tasks) {
+      const auto job = jobs_.find(task.job);
+      if (job == jobs_.end()) continue;
+      for (const Task& a : attempts) {
+        if (!active(a.state)) continue;
+        on[task.job].insert(task.no);
+        used[id] += job->second.spec.need.cores();
+        team_use[job->second.spec.team] += job->second.spec.need.cores();
+      }
+    }
+  }
+  const auto most = [this](const std::string& team) {
+    for (const Json& t : Json::parse("[" + teams_ + "]")) {
+      if (t["name"] == team && t["cpus_max"] > 0.0) return t["cpus_max"].get<double>();
+    }
+    return 1e9;
+  };
+  for (auto& [id, job] : jobs_) {
+    const auto& spec = job.spec;
+    std::set<TaskNo> busy = on[id];
+    if (spec.kind != protocol::Kind::kService) busy.insert(job.done.begin(), job.done.end());
+    const bool waits = job.accepted && !job.cancel_asked && busy.size() < spec.tasks;
+    const bool room =
+        waits && team_use[spec.team] + spec.need.cores() <= most(spec.team) + 1e-6 &&
+        std::any_of(workers_.begin(), workers_.end(), [&](const auto& m) {
+          const Worker& w = m.second;
+          return w.alive && !w.hung && !w.sick && !w.deaf && !w.taken_at && t_ >= w.boots &&
+                 coordination::may_run(spec, w.type, w.zone, w.spot) &&
+                 used[m.first] + spec.need.cores() <= (w.type == "big" ? 8 : 4) + 1e-6;
+        });
+    // Gangs and jobs bound to one zone or spread need more than one machine's room.
+    if (!room || troubled() || spec.kind == protocol::Kind::kGang || spec.one_zone || spec.spread) {
+      job.room_since.reset();
+    } else if (!job.room_since) {
+      job.room_since = t_;
+    } else if (t_ - *job.room_since > kLeftWaitingAfter) {
+      broken("left waiting: " + id.get() + " though a machine has room for it");
+    }
+  }
+}
+
+// Half of each class, of each team, and of each class's largest jobs is served, of those that have had
+// so long for it. A day that fails this counts for nothing.
+void World::check_served(double after) {
+  std::map<std::string, std::pair<std::size_t, std::size_t>> served;
+  std::map<std::string, TaskNo> largest;
+  for (const auto& [id, job] : jobs_) {
+    auto& most = largest[job.spec.job_class];
+    most = std::max(most, job.spec.tasks);
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (job.cancel_asked || t_ - std::max(job.submitted, troubles_over_) < after) continue;
+    std::vector<std::string> of = {"class " + job.spec.job_class, "team " + job.spec.team};
+    if (job.spec.tasks == largest[job.spec.job_class])
+      of.push_back("the largest of class " + job.spec.job_class);
+    for (const auto& group : of) {
+      ++served[group].second;
+      if (job.began) ++served[group].first;
+    }
+  }
+  for (const auto& [group, n] : served) {
+    if (n.first * 2 < n.second)
+      broken("served of " + group + ": " + std::to_string(n.first) + " of " +
+             std::to_string(n.second));
+  }
+}
+
 void World::step() {
   t_ += kStep;
   expire_leases();
@@ -958,6 +1036,8 @@
   } else if (word == "watch_lag") {
     const std::size_t n = index(arg());
     watch_lag_[n] = std::stod(arg());
+  } else if (word == "unasked") {
+    unasked_.insert(index(arg()));
   } else if (word == "expect") {
     const std::string what = arg();
     if (what == "done" || what == "cancelled") {
@@ -984,28 +1064,7 @@
       if (!job.began || *job.began - job.submitted > within)
         broken("expected " + job.spec.id.get() + " to have begun within " + std::to_string(within));
     } else if (what == "served") {
-      // The operators' check: half of each class, of each team, and of each class's largest jobs.
-      std::map<std::string, std::pair<std::size_t, std::size_t>> served;
-      std::map<std::string, TaskNo> largest;
-      for (const auto& [id, job] : jobs_) {
-        auto& most = largest[job.spec.job_class];
-        most = std::max(most, job.spec.tasks);
-      }
-      for (const auto& [id, job] : jobs_) {
-        if (job.cancel_asked) continue;
-        std::vector<std::string> of = {"class " + job.spec.job_class, "team " + job.spec.team};
-        if (job.spec.tasks == largest[job.spec.job_class])
-          of.push_back("the largest of class " + job.spec.job_class);
-        for (const auto& group : of) {
-          ++served[group].second;
-          if (job.began) ++served[group].first;
-        }
-      }
-      for (const auto& [group, n] : served) {
-        if (n.first * 2 < n.second)
-          broken("served of " + group + ": " + std::to_string(n.first) + " of " +
-                 std::to_string(n.second));
-      }
+      check_served(0);
     } else if (what == "most_views") {
       at_most("views", store_.at(protocol::kViewKey).value["epoch"].get<std::size_t>());
     } else if (what == "most_releases") {
@@ -1047,6 +1106,7 @@
     command(line);
     if (!failures_.empty()) failures_.push_back("in line " + std::to_string(number) + ": " + line);
   }
+  if (failures_.empty()) check_served(kServedWithin);
   if (starts_ == 0 && failures_.empty()) broken("nothing_ran");
   return failures_;
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -14,7 +14,7 @@
 //   die|hang|wake|sick|deaf|hears ID | some EVERY die|hang|wake | reboot ID SECONDS | notice ID SECONDS
 //   copies ID SECONDS | hold_orders SECONDS | lose_orders on|off | repeat_orders on|off
 //   slow_load NODE SECONDS (between reading the jobs and reading their tasks' records)
-//   lose_commit NODE | late_commit NODE SECONDS | watch_lag NODE SECONDS
+//   lose_commit NODE | late_commit NODE SECONDS | watch_lag NODE SECONDS | unasked NODE
 //   expect done|cancelled ID | running ID N | began ID WITHIN | served | gone MACHINE | machines N
 //     | most_starts N | most_views N | most_releases N | submit STATUS BODY
 #pragma once
@@ -110,6 +110,7 @@
     std::string told_final;
     double submitted = 0, known_at = 0;  // when a question about it was last answered
     std::optional<double> began;
+    std::optional<double> room_since;  // since when a task waits while a machine has room for it
     std::set<TaskNo> done;
   };
 
@@ -154,6 +155,9 @@
   // state service nor any other controller has until its authority ends.
   void check_command(std::size_t n, const TaskId& task);
   void check_rules();
+  // The operators' checks of a whole day.
+  void check_waiting();
+  void check_served(double after);
   bool troubled() const;
   void broken(const std::string& what);
   void command(const std::string& line);
@@ -168,6 +172,8 @@
   std::map<std::size_t, double> late_commit_;  // ... or carried out this much later
   std::vector<std::pair<double, protocol::Transaction>> late_commits_;
   std::map<std::size_t, double> watch_lag_;
+  std::set<std::size_t>
+      unasked_;  // users do not reach these nodes, whose copies no question refreshes
 
   std::map<std::string, Worker> workers_;
   std::vector<Late> late_;
