--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -41,6 +41,16 @@
   return v.get<double>();
 }
 
+constexpr Seconds kLeastTtl{1.0};
+constexpr Seconds kWorkerDelay{1.0};  // until a worker whose lease is gone has ended its tasks
+
+// A cancelled task ends at the latest when the authority of whoever may not have heard of it has ended,
+// and then the lease that it gave last.
+Seconds longest_ttl(const Settings& s) {
+  const Seconds left = s.cancel_within - s.worker_lease * (1.0 + 2.0 * kDrift) - kWorkerDelay;
+  return std::min(s.worker_lease * 0.5, left);
+}
+
 const Json kNone = Json::object();
 
 const Json& section(const Json& at, const char* field) {
@@ -161,10 +171,21 @@
   // A member's authority must end, and its machines be taken over, well inside a worker's lease.
   s.controller_zones.insert(s.zone);
   for (const Sibling& sib : s.siblings) s.controller_zones.insert(sib.zone);
-  s.tuning.member_ttl = std::min(s.tuning.member_ttl, s.worker_lease * 0.45);
+  s.tuning.member_ttl =
+      std::max(kLeastTtl, std::min({s.tuning.member_ttl, s.worker_lease * 0.45, longest_ttl(s)}));
   return s;
 }
 
+std::optional<std::string> caution(const Settings& settings) {
+  if (settings.tuning.member_ttl <= longest_ttl(settings)) return {};
+  std::ostringstream out;
+  out << "settings: a controller's authority (" << settings.tuning.member_ttl.count()
+      << " s) and then a worker's lease (" << settings.worker_lease.count()
+      << " s) may outlast cancel_s (" << settings.cancel_within.count()
+      << " s), or half a lease: cancelled tasks may stay too long";
+  return out.str();
+}
+
 void apply_tuning(Settings& settings, const std::string& yaml_text) {
   YAML::Node root;
   try {
@@ -191,7 +212,7 @@
   };
   const std::map<std::string, std::function<bool(double)>> fields = {
       {"round_period_s", seconds(t.round_period, 0.05, 60)},
-      {"member_ttl_s", seconds(t.member_ttl, 1, settings.worker_lease.count() * 0.5)},
+      {"member_ttl_s", seconds(t.member_ttl, kLeastTtl.count(), longest_ttl(settings).count())},
       {"idle_return_s", seconds(t.idle_return, 0, 86400)},
       {"longest_wait_s", seconds(t.longest_wait, 1, 86400)},
       {"record_within_s", seconds(t.record_within, 0, 600)},
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -93,6 +93,8 @@
 // Throw BadSettings with one line that names the field.
 Settings load_settings(const std::string& path, const std::optional<std::string>& operators_path);
 Settings parse_settings(const std::string& json_text);
+// One line if a cancelled task may outlast what users are promised, whatever the controllers do.
+std::optional<std::string> caution(const Settings& settings);
 void apply_tuning(Settings& settings, const std::string& yaml_text);
 
 }  // namespace saddleslip::base
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -96,6 +96,9 @@
   // holds all that was committed before the call, cancellations and views.
   void renewed(Time sent);
   void end_life();
+  // The ledger was read anew, page by page: parts of it are older than what was proved before, so that
+  // nothing may be commanded until a renewal has proved it current again.
+  void ledger_replaced() { authority_until_ = Time{}; }
   // May this process answer workers and give them orders now?
   bool entitled(Time now) const;
   bool has_lease(Time now) const { return now < lease_until_; }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -51,6 +51,9 @@
   saddleslip::base::init_log();
   try {
     auto settings = saddleslip::base::load_settings(config, operators);
+    const auto caution = saddleslip::base::caution(settings);
+    if (caution && check) throw saddleslip::base::BadSettings(*caution);
+    if (caution) spdlog::warn(*caution);
     if (check) {
       std::printf("the settings of %s are good\n", settings.member.get().c_str());
       return 0;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -394,6 +394,7 @@
     c.ledger().clear();
     for (const auto& item : items) c.ledger().apply(item, now());
     c.ledger().caught_up(from);
+    c.ledger_replaced();
   });
   return true;
 }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -41,6 +41,8 @@
 void fill(const Reply& reply, httplib::Response& res) {
   res.status = reply.status;
   if (reply.retry_after_s > 0) res.set_header("Retry-After", std::to_string(reply.retry_after_s));
+  // A refusal that ends the connection says so: a client that is quick would ask again on it.
+  if (t_close) res.set_header("Connection", "close");
   res.set_content(reply.body, "application/json");
 }
 
--- /dev/null
+++ b/tests/authority_test.cpp
@@ -0,0 +1,55 @@
+// When a controller may answer workers and command them.
+#include <gtest/gtest.h>
+
+#include "coordination/controller.h"
+
+namespace saddleslip::coordination {
+
+class Authority : public ::testing::Test {
+ protected:
+  Authority()
+      : settings_(base::parse_settings(
+            R"({"member":"n0","serve_on":"10.0.0.1:1","peer_listen":"10.0.0.1:2",
+                "endpoints":{"cloud":"10.0.0.1:3","state":"10.0.0.1:4"}})")),
+        controller_(settings_) {
+    const Life life{MemberId("n0"), base::Incarnation(7)};
+    controller_.begin_life(life, start_);
+    View view;
+    view.epoch = Epoch(1);
+    view.members.push_back(life);
+    controller_.ledger().apply({protocol::kViewKey, to_json(view), Version(3)}, start_);
+    controller_.ledger().caught_up(base::Revision(3));
+    controller_.follow(start_);
+  }
+  Time at(double s) const { return base::after(start_, Seconds(s)); }
+
+  const base::Settings settings_;
+  Controller controller_;
+  const Time start_{std::chrono::seconds(1000)};
+};
+
+TEST_F(Authority, EndsOneTtlAfterTheRenewalWasSent) {
+  const double ttl = settings_.tuning.member_ttl.count();
+  EXPECT_FALSE(controller_.entitled(start_));
+  // A lease alone is not enough: the copy of the jobs may be older.
+  controller_.lease_taken(start_);
+  EXPECT_FALSE(controller_.entitled(start_));
+  controller_.renewed(start_);
+  EXPECT_TRUE(controller_.entitled(at(ttl * 0.99)));
+  EXPECT_FALSE(controller_.entitled(at(ttl)));
+  // Answered late: it counts from when it was sent, whenever that is known.
+  controller_.renewed(at(1));
+  EXPECT_TRUE(controller_.entitled(at(ttl)));
+  EXPECT_FALSE(controller_.entitled(at(ttl + 1)));
+}
+
+TEST_F(Authority, NeedsAProofAfterTheCopyWasReadAnew) {
+  controller_.renewed(start_);
+  EXPECT_TRUE(controller_.entitled(at(1)));
+  controller_.ledger_replaced();
+  EXPECT_FALSE(controller_.entitled(at(1)));
+  controller_.renewed(at(1.5));
+  EXPECT_TRUE(controller_.entitled(at(2)));
+}
+
+}  // namespace saddleslip::coordination
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -51,6 +51,26 @@
   EXPECT_THROW(parse_settings("{"), BadSettings);
 }
 
+// Authority, then a worker's lease, must fit into the time that a cancellation has: the default shrinks
+// to it, operators can't set more, and what can't fit at all is said.
+TEST(Settings, AuthorityAndLeaseFitIntoACancellation) {
+  Json j = good();
+  const auto with = [&j](double lease, double cancel) {
+    j["settings"]["workers"] = {{"lease_s", lease}, {"cancel_s", cancel}};
+    return parse_settings(j.dump());
+  };
+  Settings s = with(31, 56);
+  EXPECT_EQ(s.tuning.member_ttl, Seconds(5));
+  EXPECT_FALSE(caution(s));
+  s = with(31, 35);
+  EXPECT_LT(s.tuning.member_ttl + s.worker_lease, Seconds(34.1));
+  EXPECT_FALSE(caution(s));
+  EXPECT_THROW(apply_tuning(s, "member_ttl_s: 5"), BadSettings);
+  s = with(31, 31);
+  ASSERT_TRUE(caution(s));
+  EXPECT_EQ(caution(s)->find('\n'), std::string::npos);
+}
+
 TEST(Operators, AreChecked) {
   Settings s = parse_settings(good().dump());
   apply_tuning(s, "round_period_s: 0.5\nmember_ttl_s: 4\n");
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -57,6 +57,15 @@
   EXPECT_EQ(next.get("/a", base::Seconds(5)).status, 200);
 }
 
+TEST(Transport, SaysThatARefusalEndsTheConnection) {
+  HttpServer server(kAny, {}, [](const Request&) { return Reply{200, "{}", 0}; });
+  // A body on a request that takes none is not read.
+  const std::string refused = raw(
+      server.port(), "GET /" + std::string(3000, 'x') + " HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}");
+  EXPECT_NE(refused.find(" 404 "), std::string::npos);
+  EXPECT_NE(refused.find("Connection: close"), std::string::npos);
+}
+
 TEST(Transport, SurvivesGarbage) {
   HttpServer server(kAny, {}, [](const Request&) { return Reply{200, "{}", 0}; });
   EXPECT_NE(raw(server.port(), "nonsense\r\n\r\n").find(" 400 "), std::string::npos);
