A late record of an earlier life takes no place; answers of orders are no reports

A member's record was written unguarded: carried out late, after its process had begun a later life, it took that one's place and went with the old lease, and the process stayed out of every view for good. It is guarded, and written again when it is missing. And a machine that opens no connections to controllers looked well while it answered direct orders; only its own reports count now. Scenarios late_member_record and mute_machine fail without.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -152,11 +152,24 @@
                has_member(*ledger_.view(), self_) ? "a member" : "not a member");
 }
 
+Transaction Controller::member_record(base::LeaseId lease) const {
+  const std::string key = protocol::member_key(self_.member);
+  Transaction txn;
+  // Guarded: carried out late, it must not take the place of a later life's.
+  txn.guards[key] = ledger_.version(key);
+  txn.writes.push_back({key, to_json(protocol::Member{self_, false}), lease});
+  return txn;
+}
+
 std::optional<Transaction> Controller::tend_view(Time now, base::LeaseId lease) {
   if (!alive_ || !has_lease(now)) return {};
   const auto& members = ledger_.members();
   const auto me = members.find(self_.member);
-  if (me == members.end() || me->second.life != self_) return {};
+  if (me == members.end() || me->second.life != self_) {
+    // Lost to a write of an earlier life, carried out late, and to the end of that life's lease: without
+    // its key this life would stay out of every view for good.
+    return member_record(lease);
+  }
   std::size_t others = 0, reached = 0;
   bool others_reach = false;  // does one of them say that it reaches somebody?
   for (const auto& [id, member] : members) {
@@ -418,7 +431,9 @@
     }
   }
   m.last = report;
-  m.heard = now;
+  // An order that is answered does not renew the machine's lease: one that opens no connections to any
+  // controller is about to lose all that is on it, however well it answers.
+  if (is_hello || is_new) m.heard = now;
   m.order_lost = false;
   if (report.notice && !m.taken_at) {
     m.taken_at = base::after(now, *report.notice);
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -105,6 +105,8 @@
   bool leads(Time now) const;
   // After the ledger took in changes: follows a new view.
   void follow(Time now);
+  // The key by which others know of this life.
+  Transaction member_record(base::LeaseId lease) const;
   // What leadership asks for: to take it, or to write a new view. At most one transaction.
   std::optional<Transaction> tend_view(Time now, base::LeaseId lease);
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -309,20 +309,20 @@
         continue;
       }
       const protocol::Life life{settings_.member, base::Incarnation(lease->get())};
-      const std::string key = protocol::member_key(life.member);
-      Transaction txn;
-      txn.writes.push_back({key, to_json(protocol::Member{life, false}), lease});
+      const Transaction txn = locked([&](coordination::Controller& c) {
+        c.begin_life(life, now());
+        return c.member_record(*lease);
+      });
       const auto done = state_.commit(txn, kStateCall);
       if (done.outcome != Outcome::kDone) {
+        locked([](auto& c) { c.end_life(); });
         state_.delete_lease(*lease, timeout);
         beat_bell_.wait(kShortPause * 2.0);
         continue;
       }
       const std::lock_guard lock(mutex_);
       lease_ = lease;
-      controller_.begin_life(life, now());
-      controller_.ledger().apply(
-          {key, to_json(protocol::Member{life, false}), Version(done.revision.get())}, now());
+      controller_.ledger().apply(txn, done.revision, now());
       controller_.lease_taken(sent);
       spdlog::info("member {} begins life {}", life.member.get(), life.life.get());
       for (auto& s : siblings_) s->bell.ring();
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -266,8 +266,8 @@
     w.node = (w.node + 1) % nodes_.size();
     w.next_report = t_ + 1.0;
   };
-  if (cut(name(n), "workers") || cut(name(n), w.id) || cut(name(n), w.zone) || !nodes_[n].up ||
-      !nodes_[n].loaded || t_ < nodes_[n].frozen_until) {
+  if (w.mute || cut(name(n), "workers") || cut(name(n), w.id) || cut(name(n), w.zone) ||
+      !nodes_[n].up || !nodes_[n].loaded || t_ < nodes_[n].frozen_until) {
     return next();
   }
   const auto rep = report_of(w);
@@ -478,13 +478,15 @@
     leases_[++next_lease_] = {ttl.count(), t_ + ttl.count()};
     node.lease = base::LeaseId(next_lease_);
     const protocol::Life life{base::MemberId(name(n)), base::Incarnation(next_lease_)};
-    protocol::Transaction txn;
-    txn.writes.push_back(
-        {protocol::member_key(life.member), to_json(protocol::Member{life, false}), node.lease});
-    const auto done = apply(txn);
     node.controller->begin_life(life, now());
-    node.controller->ledger().apply(
-        {txn.writes[0].key, *txn.writes[0].value, base::Version(done.revision.get())}, now());
+    const auto txn = node.controller->member_record(*node.lease);
+    const auto done = commit(n, txn);
+    if (done.outcome != Outcome::kDone) {
+      node.controller->end_life();
+      node.lease.reset();
+      return;
+    }
+    node.controller->ledger().apply(txn, done.revision, now());
   }
   const auto lease = leases_.find(node.lease->get());
   if (lease == leases_.end()) {
@@ -779,8 +781,8 @@
         waits && team_use[spec.team] + spec.need.cores() <= most(spec.team) + 1e-6 &&
         std::any_of(workers_.begin(), workers_.end(), [&](const auto& m) {
           const Worker& w = m.second;
-          return w.alive && !w.hung && !w.sick && !w.deaf && !w.taken_at && t_ >= w.boots &&
-                 coordination::may_run(spec, w.type, w.zone, w.spot) &&
+          return w.alive && !w.hung && !w.sick && !w.deaf && !w.mute && !w.taken_at &&
+                 t_ >= w.boots && coordination::may_run(spec, w.type, w.zone, w.spot) &&
                  used[m.first] + spec.need.cores() <= (w.type == "big" ? 8 : 4) + 1e-6;
         });
     // Gangs and jobs bound to one zone or spread need more than one machine's room.
@@ -1002,6 +1004,8 @@
     w.tasks.clear();
   } else if (word == "deaf" || word == "hears") {
     workers_.at(arg()).deaf = word == "deaf";
+  } else if (word == "mute" || word == "speaks") {
+    workers_.at(arg()).mute = word == "mute";
   } else if (word == "copies") {
     Worker& w = workers_.at(arg());
     w.copies_after = std::stod(arg());
--- a/tests/world.h
+++ b/tests/world.h
@@ -11,7 +11,7 @@
 //   run SECONDS
 //   crash NODE [BACK_AFTER] | freeze NODE SECONDS | cut A B | mend A B (nodes, state, workers, a machine,
 //     a zone) | state up|down | cloud up|down
-//   die|hang|wake|sick|deaf|hears ID | some EVERY die|hang|wake | reboot ID SECONDS | notice ID SECONDS
+//   die|hang|wake|sick|deaf|hears|mute|speaks ID | some EVERY die|hang|wake | reboot ID SECONDS | notice ID SECONDS
 //   copies ID SECONDS | hold_orders SECONDS | lose_orders on|off | repeat_orders on|off
 //   slow_load NODE SECONDS (between reading the jobs and reading their tasks' records)
 //   lose_commit NODE | late_commit NODE SECONDS | watch_lag NODE SECONDS | unasked NODE
@@ -68,6 +68,7 @@
   struct Worker {
     std::string id, type, zone;
     bool spot = false, alive = true, hung = false, sick = false;
+    bool mute = false;         // it reaches no controller, and direct orders reach it
     bool deaf = false;         // its reports arrive, and nothing reaches it
     double copies_after = -1;  // a copy of each report arrives so much later, everywhere
     double boots = 0;
