Tests: one look at who takes a word, a machine's cores and a transaction taken in

Written twice in the stand-ins; limits of teams are read once a check. No scenario, bound or expectation is changed: 95 tests pass, and with the bound of waiting made 2 s, or the word to siblings taken out, they fail as before.

--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -24,6 +24,10 @@
   return "n" + std::to_string(n);
 }
 
+double cores_of(const std::string& machine_type) {
+  return machine_type == "big" ? 8 : 4;
+}
+
 bool active(const std::string& state) {
   return state != "ended";
 }
@@ -236,7 +240,7 @@
       } else if (job == jobs_.end()) {
         t.state = "ended";
         t.cause = "unknown";
-      } else if (used + job->second.spec.need.cores() > (w.type == "big" ? 8 : 4) + 1e-6) {
+      } else if (used + job->second.spec.need.cores() > cores_of(w.type) + 1e-6) {
         t.state = "ended";
         t.cause = "no_room";
       }
@@ -401,12 +405,14 @@
   node.back_at = node.records_at = -1;
 }
 
+bool World::takes_word(std::size_t from, std::size_t n) const {
+  return n != from && nodes_[n].up && nodes_[n].loaded && t_ >= nodes_[n].frozen_until &&
+         !cut(name(from), name(n));
+}
+
 void World::tell_cancelled(std::size_t n, const JobId& id) {
   for (std::size_t m = 0; m < nodes_.size(); ++m) {
-    if (m == n || !nodes_[m].up || !nodes_[m].loaded || t_ < nodes_[m].frozen_until ||
-        cut(name(n), name(m))) {
-      continue;
-    }
+    if (!takes_word(n, m)) continue;
     nodes_[m].controller->told_cancelled(id);
     nodes_[m].rung = true;
   }
@@ -503,10 +509,7 @@
   if (const auto txn = node.controller->tend_view(now(), *node.lease)) {
     const auto done = commit(n, *txn);
     if (done.outcome == Outcome::kDone) {
-      for (const auto& w : txn->writes) {
-        node.controller->ledger().apply(
-            {w.key, w.value ? *w.value : Json(), base::Version(done.revision.get())}, now());
-      }
+      node.controller->ledger().apply(*txn, done.revision, now());
       node.controller->follow(now());
       node.beat_now = true;
       node.rung = true;
@@ -571,10 +574,7 @@
     if (!txn) continue;
     const auto done = commit(n, *txn);
     if (done.outcome == Outcome::kDone) {
-      for (const auto& w : txn->writes) {
-        c.ledger().apply({w.key, w.value ? *w.value : Json(), base::Version(done.revision.get())},
-                         now());
-      }
+      c.ledger().apply(*txn, done.revision, now());
       node.rung = true;
     }
   }
@@ -648,10 +648,7 @@
   if (t_ >= node.next_tell) {
     node.next_tell = t_ + 0.7;
     for (std::size_t m = 0; m < nodes_.size(); ++m) {
-      if (m == n || !nodes_[m].up || !nodes_[m].loaded || t_ < nodes_[m].frozen_until ||
-          cut(name(n), name(m))) {
-        continue;
-      }
+      if (!takes_word(n, m)) continue;
       const auto status = c.status(base::MemberId(name(m)), now());
       const auto said = nodes_[m].controller->heard_status(status, now());
       c.status_taken(base::MemberId(name(m)), said.again ? 0 : status.upto);
@@ -766,24 +763,23 @@
       }
     }
   }
-  const auto most = [this](const std::string& team) {
-    for (const Json& t : Json::parse("[" + teams_ + "]")) {
-      if (t["name"] == team && t["cpus_max"] > 0.0) return t["cpus_max"].get<double>();
-    }
-    return 1e9;
-  };
+  std::map<std::string, double> limits;
+  for (const Json& t : Json::parse("[" + teams_ + "]")) {
+    const double most = t["cpus_max"];
+    limits[t["name"]] = most > 0 ? most : 1e9;
+  }
   for (auto& [id, job] : jobs_) {
     const auto& spec = job.spec;
     std::set<TaskNo> busy = on[id];
     if (spec.kind != protocol::Kind::kService) busy.insert(job.done.begin(), job.done.end());
     const bool waits = job.accepted && !job.cancel_asked && busy.size() < spec.tasks;
     const bool room =
-        waits && team_use[spec.team] + spec.need.cores() <= most(spec.team) + 1e-6 &&
+        waits && team_use[spec.team] + spec.need.cores() <= limits.at(spec.team) + 1e-6 &&
         std::any_of(workers_.begin(), workers_.end(), [&](const auto& m) {
           const Worker& w = m.second;
           return w.alive && !w.hung && !w.sick && !w.deaf && !w.mute && !w.taken_at &&
                  t_ >= w.boots && coordination::may_run(spec, w.type, w.zone, w.spot) &&
-                 used[m.first] + spec.need.cores() <= (w.type == "big" ? 8 : 4) + 1e-6;
+                 used[m.first] + spec.need.cores() <= cores_of(w.type) + 1e-6;
         });
     // Gangs and jobs bound to one zone or spread need more than one machine's room.
     if (!room || troubled() || spec.kind == protocol::Kind::kGang || spec.one_zone || spec.spread) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -98,8 +98,8 @@
     std::optional<base::LeaseId> lease;
     double next_beat = 0, next_round = 0, next_tell = 0, next_fleet = 0, busy_until = 0;
     double back_at = -1, frozen_until = -1;
-    double load_takes = 0,
-           records_at = -1;  // a load that is under way reads the tasks' records then
+    double load_takes = 0;
+    double records_at = -1;  // a load that is under way reads the tasks' records then
     std::uint64_t load_from = 0;
     std::uint64_t hires = 0;
   };
@@ -140,6 +140,8 @@
   void step_node(std::size_t n);
   void beat(std::size_t n);
   void load(std::size_t n);
+  // Does a controller take in what another tells it now?
+  bool takes_word(std::size_t from, std::size_t n) const;
   void tell_cancelled(std::size_t n, const JobId& id);
   void take_in(std::size_t n, double lag);
   bool catch_up(std::size_t n);
@@ -173,8 +175,8 @@
   std::map<std::size_t, double> late_commit_;  // ... or carried out this much later
   std::vector<std::pair<double, protocol::Transaction>> late_commits_;
   std::map<std::size_t, double> watch_lag_;
-  std::set<std::size_t>
-      unasked_;  // users do not reach these nodes, whose copies no question refreshes
+  // Users do not reach these nodes, whose copies no question refreshes.
+  std::set<std::size_t> unasked_;
 
   std::map<std::string, Worker> workers_;
   std::vector<Late> late_;
