Machines are blamed only for sound jobs; a controller that lost its workers says so

Now FailureTracker counts a failure against a machine only if the job completes or runs for long elsewhere, or three unrelated jobs failed on that machine alone. A job that fails on two machines without a sign of success is suspect, here and by siblings' word: one task at a time is tried, backing off from 2 to 60 s, and nothing is rented, displaced or kept free for it. Now a member that hears hardly any of its own machines says so, and the leader hands those over to members that do hear theirs. The runner's left-waiting check treats a job that fails by itself as left waiting when it is not tried again for 90 s; its largest-jobs check now counts only what began within four minutes. Ids in JSON are written and read in one place.

--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -76,9 +76,6 @@
   protocol::MachineRoom room;
   std::uint64_t room_changed = 0;
   std::pair<Session, Sequence> room_report;  // the report that its images are of
-  std::set<JobId> failed_jobs;               // whose tasks failed here since the last success
-  int errors = 0;
-  bool sick = false;
 
   bool has_image(const std::string& image) const {
     return std::any_of(images.begin(), images.end(),
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -9,21 +9,18 @@
 
 namespace {
 
-constexpr Seconds kGoneKept{600.0};   // late reports and old lists may still name the machine
-constexpr Seconds kReachable{4.0};    // a sibling not reached for this long counts as cut off
+constexpr Seconds kGoneKept{600.0};  // late reports and old lists may still name the machine
+
 constexpr Seconds kStatusFresh{5.0};  // a sibling's room is relied on for this long
 constexpr Seconds kRefusedFor{8.0};   // a kind that was refused is left alone, doubling to 64 s
-constexpr Seconds kBounceMemory{15.0};
-constexpr Seconds kKnocked{
-    3.0};  // a machine whose owner doesn't hear it knocks elsewhere for so long
-constexpr Seconds kCalm{10.0};     // without a wait for room, before services are moved together
-constexpr Seconds kDrainGap{3.0};  // between two machines to be emptied
+constexpr Seconds kCalm{10.0};        // without a wait for room, before services are moved together
+constexpr Seconds kDrainGap{3.0};     // between two machines to be emptied
 constexpr Seconds kRoomRemembered{60.0};  // of a part that is out of reach, for the fleet
 constexpr Seconds kArrivalWindow{120.0};
-constexpr Seconds kPinHeld{60.0};  // a machine that was handed over stays for so long
 constexpr double kTokenAge = 0.5;  // of a lease: workers report a new token this often at most
 // A machine that hears no answer goes from node to node, and comes by within this.
 constexpr Seconds kDeafRound{20.0};
+constexpr std::size_t kMostSuspects = 256;  // named in one status
 constexpr std::size_t kMostOwners = 20000;  // remembered; more are worked out anew
 
 }  // namespace
@@ -262,10 +259,7 @@
   }
   const Life* of = owner(report.machine);
   if (of->member != self_.member) {
-    Bounced& b = bounced_[report.machine];
-    if (b.owner != *of || base::between(b.last, now) > kBounceMemory) b = {*of, now, now, 0};
-    b.last = now;
-    ++b.times;
+    remember_bounced(report.machine, *of, now);
     return {421, protocol::redirect(of->member)};
   }
   if (!entitled(now)) return {503, protocol::error_body("not entitled to act now")};
@@ -288,100 +282,6 @@
   return {200, protocol::report_response(m.token, reconcile(m))};
 }
 
-std::vector<MachineId> Controller::claims(Time now) {
-  std::vector<MachineId> out;
-  std::erase_if(bounced_,
-                [&](const auto& b) { return base::between(b.second.last, now) > kBounceMemory; });
-  if (!entitled(now)) {
-    // Nor may their owners answer, most likely: in an outage of the state service all are turned
-    // away everywhere.
-    bounced_.clear();
-    return out;
-  }
-  for (const auto& [id, b] : bounced_) {
-    if (owns(id)) continue;
-    // A machine that hears nobody knocks everywhere: handed on each time, its owners would change
-    // for ever, and none would get to see that it is deaf.
-    const auto pinned = pinned_since_.find(id);
-    if (pinned != pinned_since_.end() && base::between(pinned->second.second, now) < kPinHeld) {
-      continue;
-    }
-    const Life* of = owner(id);
-    // Sent to another owner, or an earlier life of it: that tells nothing of this one.
-    if (!of || b.owner != *of) continue;
-    const auto s = of ? siblings_.find(of->member) : siblings_.end();
-    bool lost = false;
-    if (s != siblings_.end() && s->second.from == *of &&
-        base::between(s->second.heard, now) < Seconds(2.5)) {
-      // The owner itself says whether it hears the machine.
-      const auto& rooms = s->second.rooms;
-      const auto room = rooms.find(id);
-      // It came back once more: its way to the owner is barred, and it has not just ended.
-      lost = b.times >= 2 && base::between(b.first, now) > kKnocked &&
-             (room == rooms.end() ||
-              (room->second.late && !room->second.unsure && !room->second.soon));
-    } else {
-      // An owner that has ended would have left the view by now: this one lives, out of reach.
-      lost = b.times >= 2 && b.last > base::after(b.first, Seconds(2.0)) &&
-             base::between(b.first, now) > settings_.tuning.member_ttl + Seconds(1.0);
-    }
-    if (lost) out.push_back(id);
-  }
-  return out;
-}
-
-std::optional<Transaction> Controller::claim(Time now) {
-  const auto& leader = ledger_.leader();
-  if (!leader || *leader == self_) return {};
-  const auto reached = reached_.find(leader->member);
-  if (reached != reached_.end() && base::between(reached->second, now) < kReachable) return {};
-  Transaction txn;
-  txn.guards[protocol::kViewKey] = followed_view_;
-  for (const MachineId& id : claims(now)) {
-    const std::string key = protocol::claim_key(id);
-    if (ledger_.version(key).get() != 0) continue;
-    if (txn.writes.size() >= settings_.txn_ops) break;
-    txn.guards[key] = Version(0);
-    txn.writes.push_back({key, to_json(self_), {}});
-    spdlog::info("machine {} can't reach its owner: claimed", id.get());
-  }
-  if (txn.writes.empty()) return {};
-  return txn;
-}
-
-// Each new view fences all that is under way: one that follows claims carries as many as come within
-// a moment, since a node that loses its workers loses all of them.
-std::map<MachineId, Life> Controller::heard_claims(Time now) {
-  std::map<MachineId, Life> all = ledger_.claims();
-  const bool stored = !all.empty();
-  const auto& view = ledger_.view();
-  const auto take = [&](const Life& by, const std::vector<MachineId>& machines) {
-    for (const MachineId& id : machines) {
-      const Life* of = owner(id);
-      if (of && *of != by && !gone_.contains(id)) all.try_emplace(id, by);
-    }
-  };
-  if (view) {
-    take(self_, claims(now));
-    for (const auto& [member, s] : siblings_) {
-      if (has_member(*view, s.from) && base::between(s.heard, now) < Seconds(2.5)) {
-        take(s.from, s.claims);
-      }
-    }
-  }
-  if (all.empty()) {
-    claimed_at_.reset();
-    return all;
-  }
-  if (!claimed_at_) claimed_at_ = now;
-  if (!stored && base::between(*claimed_at_, now) < settings_.report_every * 0.5 + Seconds(1.0)) {
-    return {};
-  }
-  claimed_at_.reset();
-  spdlog::info("{} machines can't reach their owners: handed over", all.size());
-  return all;
-}
-
 void Controller::order_answered(const MachineId& machine, const std::optional<Report>& report,
                                 Time now) {
   if (!report || report->machine != machine || !owns(machine)) return;
@@ -558,6 +458,7 @@
     unheard_owned_at_ = Time{};  // its tasks are over: at once
     mute_.erase(id);
     zones_.erase(id);
+    failures_.forget_machine(id);
     spdlog::info("machine {} is gone (the cloud's word)", id.get());
   }
   std::erase_if(gone_, [&](const auto& g) {
@@ -716,14 +617,6 @@
   return out;
 }
 
-std::vector<MachineId> Controller::knocked(Time now) const {
-  std::vector<MachineId> out;
-  for (const auto& [id, b] : bounced_) {
-    if (base::between(b.last, now) < kBounceMemory) out.push_back(id);
-  }
-  return out;
-}
-
 MemberStatus Controller::status(const MemberId& to, Time now) {
   MemberStatus s;
   s.from = self_;
@@ -747,6 +640,9 @@
   std::erase_if(left_, [&](const auto& l) { return l.second <= least; });
   s.give_back = asked_back();
   s.knocked = knocked(now);
+  s.contact = worker_contact(now);
+  s.suspects = failures_.suspects();
+  if (s.suspects.size() > kMostSuspects) s.suspects.resize(kMostSuspects);
   if (ledger_.leader() && ledger_.leader()->member == to) s.claims = claims(now);
   return s;
 }
@@ -768,6 +664,8 @@
   s.give_back = status.give_back;
   s.knocked = status.knocked;
   s.claims = status.claims;
+  s.contact = status.contact;
+  s.suspects = {status.suspects.begin(), status.suspects.end()};
   s.heard = now;
   for (const MachineId& id : status.left) s.rooms.erase(id);
   for (const MachineRoom& m : status.machines) {
@@ -842,7 +740,7 @@
   for (const auto& [id, job] : ledger_.jobs()) {
     const auto& spec = job.record.spec;
     if (spec.kind != protocol::Kind::kArray || !spec.deadline || job.cancelled() ||
-        job.done >= spec.tasks) {
+        job.done >= spec.tasks || is_suspect(id, now)) {
       continue;
     }
     double by = due(job, now);
@@ -956,9 +854,7 @@
     const auto& spec = job.record.spec;
     std::size_t n = job.pending();
     if (n == 0) continue;
-    const auto failing = failures_.find(id);
-    if (failing != failures_.end() && failing->second.machines.size() >= 3 && job.done == 0)
-      continue;
+    if (is_suspect(id, now)) continue;
     if (ledger_.limited(spec.team)) {
       const base::Team& team = settings_.teams.at(spec.team);
       auto [room, is_new] = team_room.try_emplace(spec.team);
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -12,6 +12,7 @@
 
 #include "bookkeeping/ledger.h"
 #include "bookkeeping/machines.h"
+#include "coordination/failure_tracker.h"
 #include "coordination/fleet.h"
 #include "coordination/view.h"
 
@@ -31,6 +32,9 @@
 using protocol::Report;
 using protocol::Transaction;
 
+// A sibling that was not reached for this long counts as cut off.
+inline constexpr Seconds kReachable{4.0};
+
 struct WorkerReply {
   int status = 503;
   std::string body;
@@ -178,6 +182,8 @@
     std::uint64_t upto = 0;
     std::map<MachineId, MachineRoom> rooms;
     std::vector<MachineId> give_back, knocked, claims;
+    std::set<JobId> suspects;
+    protocol::WorkerContact contact = protocol::WorkerContact::kUnknown;
     Time heard{};
   };
   using Parts = std::vector<std::pair<MemberId, std::vector<const MachineRoom*>>>;
@@ -186,9 +192,6 @@
     std::vector<std::pair<TaskNo, TaskNo>> ranges;
     Time until{};
   };
-  struct Failures {
-    std::map<MachineId, Time> machines;
-  };
 
   // As the view says. Asked for every machine in every round, and the same until the view changes.
   const Life* owner(const MachineId& machine) const;
@@ -205,8 +208,17 @@
   void update_room(Machine& m, Time now);
   std::vector<MachineId> asked_back() const;
   std::vector<MachineId> knocked(Time now) const;
+  // A machine of that owner reported here and was sent there.
+  void remember_bounced(const MachineId& machine, const Life& owner, Time now);
   // Machines that come back again and again: they reach this node, and not their owner.
   std::vector<MachineId> claims(Time now);
+  // Does this controller hear the machines that it owns?
+  protocol::WorkerContact worker_contact(Time now) const;
+  bool is_overdue(const Machine& m, Time now) const;
+  protocol::WorkerContact contact_of(const Life& member, Time now) const;
+  std::vector<MachineId> unheard_of(const Life& member, Time now) const;
+  // Adds the machines of members that have lost their workers. False: there are none.
+  bool hand_over_unheard(Time now, std::map<MachineId, Life>& to) const;
   // All members' claims that the leader has heard of, if it is time for a view that follows them.
   std::map<MachineId, Life> heard_claims(Time now);
   std::string zone_of(const MachineId& machine) const;
@@ -216,7 +228,14 @@
   static bool reported_over(const Machine& m, const TaskId& task, const protocol::Held& held);
   void collect_ends(Time now, std::vector<RoundPlan::End>& ends);
   bool can_wait(const RoundPlan::End& end, const std::set<TaskId>& ended, Time now);
-  void failed(const JobId& job, Machine& m, Time now);
+  // Decides which jobs with failures are sound, and closes the machines that turn out to be faulty.
+  void judge_failures(Time now);
+  // Has a task of the job been running here for so long, on a machine where none of it failed?
+  bool runs_for_long(const Job& job, Time now) const;
+  // Does the job fail on every machine, as far as this controller or a sibling has seen?
+  bool is_suspect(const JobId& job, Time now) const;
+  // How long an attempt ran that is over, as far as this controller saw.
+  Seconds run_before_end(const RoundPlan::End& end) const;
   void learn_run_time(const RoundPlan::End& end);
   void housekeeping(Time now);
   void count_arrivals(Time now);
@@ -286,7 +305,7 @@
   Time tidied_{};
   std::set<JobId> accepted_;
   std::map<JobId, std::size_t> displacing_;  // how often a part was asked to make room
-  std::map<JobId, Failures> failures_;
+  FailureTracker failures_;
   std::set<JobId> guaranteed_;
   std::pair<std::uint64_t, Time> guaranteed_at_{};
   std::vector<MachineId> unheard_owned_;
--- /dev/null
+++ b/src/coordination/handover.cpp
@@ -0,0 +1,211 @@
+// Machines that can't reach their owner: who notices, and who gets them.
+#include "base/log.h"
+#include "coordination/controller.h"
+
+namespace saddleslip::coordination {
+
+namespace {
+
+constexpr Seconds kBounceMemory{15.0};
+// A machine whose owner doesn't hear it comes to other members for so long before it is claimed.
+constexpr Seconds kKnocked{3.0};
+constexpr Seconds kPinHeld{60.0};      // a machine that was handed over stays for so long
+constexpr Seconds kStatusRecent{2.5};  // a sibling's word on what it hears now
+// Workers whose node does not answer need so long, and a report interval, to find another one.
+constexpr Seconds kWorkerRetry{6.0};
+constexpr double kLostIntervals = 2.0;    // without a report
+constexpr std::size_t kLeastOverdue = 2;  // one silent machine may be dead
+constexpr std::size_t kLostShare = 80;    // per cent of a member's machines that are overdue
+constexpr std::size_t kGoodShare = 20;  // ... at most, of a member that others' machines may go to
+
+}  // namespace
+
+void Controller::remember_bounced(const MachineId& machine, const Life& owner, Time now) {
+  Bounced& b = bounced_[machine];
+  if (b.owner != owner || base::between(b.last, now) > kBounceMemory) b = {owner, now, now, 0};
+  b.last = now;
+  ++b.times;
+}
+
+std::vector<MachineId> Controller::claims(Time now) {
+  std::vector<MachineId> out;
+  std::erase_if(bounced_,
+                [&](const auto& b) { return base::between(b.second.last, now) > kBounceMemory; });
+  if (!entitled(now)) {
+    // Nor may their owners answer, most likely: in an outage of the state service all are turned
+    // away everywhere.
+    bounced_.clear();
+    return out;
+  }
+  for (const auto& [id, b] : bounced_) {
+    if (owns(id)) continue;
+    // A machine that hears nobody knocks everywhere: handed on each time, its owners would change
+    // for ever, and none would get to see that it is deaf.
+    const auto pinned = pinned_since_.find(id);
+    if (pinned != pinned_since_.end() && base::between(pinned->second.second, now) < kPinHeld) {
+      continue;
+    }
+    const Life* of = owner(id);
+    // Sent to another owner, or an earlier life of it: that tells nothing of this one.
+    if (!of || b.owner != *of) continue;
+    const auto s = of ? siblings_.find(of->member) : siblings_.end();
+    bool lost = false;
+    if (s != siblings_.end() && s->second.from == *of &&
+        base::between(s->second.heard, now) < kStatusRecent) {
+      // The owner itself says whether it hears the machine.
+      const auto& rooms = s->second.rooms;
+      const auto room = rooms.find(id);
+      // It came back once more: its way to the owner is barred, and it has not just ended.
+      lost = b.times >= 2 && base::between(b.first, now) > kKnocked &&
+             (room == rooms.end() ||
+              (room->second.late && !room->second.unsure && !room->second.soon));
+    } else {
+      // An owner that has ended would have left the view by now: this one lives, out of reach.
+      lost = b.times >= 2 && b.last > base::after(b.first, Seconds(2.0)) &&
+             base::between(b.first, now) > settings_.tuning.member_ttl + Seconds(1.0);
+    }
+    if (lost) out.push_back(id);
+  }
+  return out;
+}
+
+std::optional<Transaction> Controller::claim(Time now) {
+  const auto& leader = ledger_.leader();
+  if (!leader || *leader == self_) return {};
+  const auto reached = reached_.find(leader->member);
+  if (reached != reached_.end() && base::between(reached->second, now) < kReachable) return {};
+  Transaction txn;
+  txn.guards[protocol::kViewKey] = followed_view_;
+  for (const MachineId& id : claims(now)) {
+    const std::string key = protocol::claim_key(id);
+    if (ledger_.version(key).get() != 0) continue;
+    if (txn.writes.size() >= settings_.txn_ops) break;
+    txn.guards[key] = Version(0);
+    txn.writes.push_back({key, to_json(self_), {}});
+    spdlog::info("machine {} can't reach its owner: claimed", id.get());
+  }
+  if (txn.writes.empty()) return {};
+  return txn;
+}
+
+// All its machines fall silent for a member that has lost the network to the workers, while it still
+// reaches the state service and its siblings. Machines that go from one unreachable controller to the
+// next come to a live one only after most of their lease: the member's own word must do without them.
+protocol::WorkerContact Controller::worker_contact(Time now) const {
+  // A node that may not answer sends machines away: it hears none of them for that reason.
+  if (!entitled(now) || !entitled_since_) return protocol::WorkerContact::kUnknown;
+  std::size_t owned = machines_.size(), overdue = 0;
+  for (const auto& [id, m] : machines_) {
+    if (is_overdue(m, now)) ++overdue;
+  }
+  for (const auto& [id, since] : owned_since_) {
+    if (machines_.contains(id) || gone_.contains(id) || ledger_.held_by(id).empty()) continue;
+    ++owned;
+    const Seconds missed = base::between(std::max(since, *entitled_since_), now);
+    if (missed > settings_.report_every + kWorkerRetry) ++overdue;
+  }
+  if (overdue >= kLeastOverdue && overdue * 100 >= owned * kLostShare) {
+    return protocol::WorkerContact::kLost;
+  }
+  const bool good = overdue < owned && overdue * 100 <= owned * kGoodShare;
+  return good ? protocol::WorkerContact::kGood : protocol::WorkerContact::kUnknown;
+}
+
+bool Controller::is_overdue(const Machine& m, Time now) const {
+  const Time heard = entitled_since_ ? std::max(m.heard, *entitled_since_) : m.heard;
+  return base::between(heard, now) > settings_.report_every * kLostIntervals;
+}
+
+protocol::WorkerContact Controller::contact_of(const Life& member, Time now) const {
+  if (member == self_) return worker_contact(now);
+  const auto at = siblings_.find(member.member);
+  const bool known = at != siblings_.end() && at->second.from == member &&
+                     base::between(at->second.heard, now) < kStatusRecent;
+  return known ? at->second.contact : protocol::WorkerContact::kUnknown;
+}
+
+// The machines that this member owns and does not hear.
+std::vector<MachineId> Controller::unheard_of(const Life& member, Time now) const {
+  std::vector<MachineId> out;
+  if (member == self_) {
+    for (const auto& [id, m] : machines_) {
+      if (is_overdue(m, now)) out.push_back(id);
+    }
+  } else {
+    for (const auto& [id, room] : siblings_.at(member.member).rooms) {
+      if (room.late) out.push_back(id);
+    }
+  }
+  for (const auto& [id, tasks] : ledger_.held()) {
+    const Life* of = owner(id);
+    const bool reports =
+        member == self_ ? machines_.contains(id) : siblings_.at(member.member).rooms.contains(id);
+    if (of && *of == member && !reports) out.push_back(id);
+  }
+  return out;
+}
+
+bool Controller::hand_over_unheard(Time now, std::map<MachineId, Life>& to) const {
+  if (!ledger_.view()) return false;
+  View hearing;  // the members that may take over
+  std::vector<const Life*> lost;
+  for (const Life& member : ledger_.view()->members) {
+    const auto contact = contact_of(member, now);
+    if (contact == protocol::WorkerContact::kGood) hearing.members.push_back(member);
+    if (contact == protocol::WorkerContact::kLost) lost.push_back(&member);
+  }
+  if (hearing.members.empty()) return false;
+  bool any = false;
+  for (const Life* member : lost) {
+    for (const MachineId& id : unheard_of(*member, now)) {
+      if (gone_.contains(id)) continue;
+      any = to.try_emplace(id, *owner_of(hearing, id)).second || any;
+    }
+  }
+  return any;
+}
+
+// Each new view fences all that is under way: one that follows claims carries as many as come within
+// a moment, since a node that loses its workers loses all of them.
+std::map<MachineId, Life> Controller::heard_claims(Time now) {
+  std::map<MachineId, Life> all = ledger_.claims();
+  const bool stored = !all.empty();
+  const auto& view = ledger_.view();
+  const auto take = [&](const Life& by, const std::vector<MachineId>& machines) {
+    for (const MachineId& id : machines) {
+      const Life* of = owner(id);
+      if (of && *of != by && !gone_.contains(id)) all.try_emplace(id, by);
+    }
+  };
+  if (view) {
+    take(self_, claims(now));
+    for (const auto& [member, s] : siblings_) {
+      if (has_member(*view, s.from) && base::between(s.heard, now) < kStatusRecent) {
+        take(s.from, s.claims);
+      }
+    }
+  }
+  const bool owners_lost = hand_over_unheard(now, all);
+  if (all.empty()) {
+    claimed_at_.reset();
+    return all;
+  }
+  if (!claimed_at_) claimed_at_ = now;
+  const bool complete = stored || owners_lost;
+  if (!complete && base::between(*claimed_at_, now) < settings_.report_every * 0.5 + Seconds(1.0)) {
+    return {};
+  }
+  claimed_at_.reset();
+  spdlog::info("{} machines can't reach their owners: handed over", all.size());
+  return all;
+}
+
+std::vector<MachineId> Controller::knocked(Time now) const {
+  std::vector<MachineId> out;
+  for (const auto& [id, b] : bounced_) {
+    if (base::between(b.last, now) < kBounceMemory) out.push_back(id);
+  }
+  return out;
+}
+
+}  // namespace saddleslip::coordination
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr Seconds kAvoidAfterFailure{30.0};
+constexpr Seconds kSuspicionFresh{5.0};   // a sibling's word that a job fails everywhere
 constexpr std::size_t kStarvedShare = 4;  // so large a part of a starved job's tasks goes first
 constexpr Seconds kGatherFor{60.0};
 constexpr std::size_t kGatherOneOf = 20;  // one machine of so many, and one more
@@ -37,7 +37,7 @@
 }  // namespace
 
 std::optional<std::size_t> Controller::starved(const Job& job, Time now) const {
-  if (job.pending() == 0) return {};
+  if (job.pending() == 0 || is_suspect(job.record.spec.id, now)) return {};
   // What never began has waited since it was submitted, whichever process saw it.
   const bool began = job.held > 0 || job.done > 0;
   const double waited =
@@ -202,23 +202,44 @@
   while (pool_.size() > 4096) pool_.pop_front();
 }
 
-void Controller::failed(const JobId& job, Machine& m, Time now) {
-  auto& seen = failures_[job].machines;
-  seen[m.last.machine] = now;
-  // A job that fails wherever it is started says nothing against the machines.
-  if (seen.size() >= 3) return;
-  m.failed_jobs.insert(job);
-  ++m.errors;
-  const Job* j = ledger_.job(job);
-  const bool others_do_well = j && (j->done > 0 || j->held > 0);
-  if (!m.sick && m.errors >= 2 && (m.failed_jobs.size() >= 2 || others_do_well)) {
-    m.sick = true;
+bool Controller::runs_for_long(const Job& job, Time now) const {
+  const JobId& id = job.record.spec.id;
+  const Seconds needed = failures_.long_run(id);
+  return std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
+    const Machine& m = entry.second;
+    const auto first = m.ran.lower_bound(TaskId{id, 0});
+    return first != m.ran.end() && first->first.job == id &&
+           base::between(first->second, now) > needed && !failures_.avoids(id, entry.first, now);
+  });
+}
+
+void Controller::judge_failures(Time now) {
+  for (const JobId& id : failures_.unproven()) {
+    const Job* job = ledger_.job(id);
+    const bool completed =
+        job ? job->done > 0 : ledger_.final_state(id) == protocol::JobStatus::kDone;
+    if (completed || (job && runs_for_long(*job, now))) {
+      failures_.mark_sound(id);
+    } else if (!job || job->cancelled()) {
+      failures_.forget_job(id);
+    }
+  }
+  for (auto& [id, m] : machines_) {
+    if (m.closed || !failures_.is_faulty(id)) continue;
     m.closed = true;
-    spdlog::warn("machine {} fails its tasks ({} failures of {} jobs): closed",
-                 m.last.machine.get(), m.errors, m.failed_jobs.size());
+    spdlog::warn("machine {} fails tasks of jobs that run elsewhere: closed", id.get());
   }
 }
 
+bool Controller::is_suspect(const JobId& id, Time now) const {
+  if (failures_.is_suspect(id)) return true;
+  const Job* job = ledger_.job(id);
+  if (job && job->done > 0) return false;
+  return std::any_of(siblings_.begin(), siblings_.end(), [&](const auto& s) {
+    return base::between(s.second.heard, now) < kSuspicionFresh && s.second.suspects.contains(id);
+  });
+}
+
 const std::vector<MachineId>& Controller::unheard_owned(Time now) {
   if (base::between(unheard_owned_at_, now) < kUnheardFor && unheard_owned_at_ > followed_at_) {
     return unheard_owned_;
@@ -391,6 +412,7 @@
     const Job* job = ledger_.job(p.job);
     if (!job || job->cancelled()) continue;
     if (pace == Pace::kUrgent && tier_of(*job) > kLastUrgentTier) continue;
+    if (!failures_.may_retry(p.job, now)) continue;
     const auto [at, is_new] = index.try_emplace(p.job, waiting.size());
     if (is_new) waiting.push_back({job, {}, {}, true});
     Waiting& w = waiting[at->second];
@@ -458,8 +480,9 @@
     g.need = spec.need;
     const auto first = starved(*w.job, now);
     if (first && w.tasks.size() > *first) w.tasks.resize(*first);
+    // One task is enough to see whether a job that failed everywhere still does.
+    if (spec.kind != Kind::kGang && is_suspect(spec.id, now)) w.tasks.resize(1);
     g.count = w.tasks.size();
-    const auto failing = failures_.find(spec.id);
     g.allowed = [&](std::size_t b) {
       if (w.tasks.empty()) return false;
       const Report& r = at_bin[b]->last;
@@ -501,18 +524,12 @@
     // there: services go where controllers are, and other work leaves them the room.
     const auto within = start_within(spec);
     const bool displaces = displaces_for_image(*w.job, now);
-    g.pass = [&, failing, within, displaces](std::size_t b) {
+    g.pass = [&, within, displaces](std::size_t b) {
       const Machine& m = *at_bin[b];
       if (!may_run(spec, m.last.type, m.last.zone, m.last.spot)) return -1;
       const auto kept = gathered_.find(m.last.machine);
       if (kept != gathered_.end() && kept->second.job != spec.id) return -1;
-      if (failing != failures_.end()) {
-        const auto f = failing->second.machines.find(m.last.machine);
-        if (f != failing->second.machines.end() &&
-            base::between(f->second, now) < kAvoidAfterFailure) {
-          return -1;
-        }
-      }
+      if (failures_.avoids(spec.id, m.last.machine, now)) return -1;
       const bool quick = !within || fetch_time(m, spec) < *within * 0.75;
       const int image = m.has_image(spec.image)          ? 0
                         : m.pulling.contains(spec.image) ? 2
@@ -571,7 +588,9 @@
 
   std::vector<std::pair<const Job*, std::size_t>> left;
   for (const Waiting& w : waiting) {
-    if (!w.tasks.empty()) left.emplace_back(w.job, w.tasks.size());
+    // Nothing gives way to a job that fails everywhere.
+    if (!w.tasks.empty() && !is_suspect(w.job->record.spec.id, now))
+      left.emplace_back(w.job, w.tasks.size());
   }
   for (const RoundPlan::Start& s : plan.starts) {
     const auto g = gathered_.find(s.held.machine);
@@ -749,20 +768,26 @@
   }
 }
 
+Seconds Controller::run_before_end(const RoundPlan::End& end) const {
+  const auto at = machines_.find(end.machine);
+  if (at == machines_.end()) return Seconds(0);
+  const auto ran = at->second.ran_before.find(end.task);
+  return ran == at->second.ran_before.end() ? Seconds(0) : ran->second;
+}
+
 // Estimates mislead, often all of a class in the same direction.
 void Controller::learn_run_time(const RoundPlan::End& end) {
   const auto at = machines_.find(end.machine);
   const Job* job = ledger_.job(end.task.job);
   if (at == machines_.end() || !job) return;
-  const auto ran = at->second.ran_before.find(end.task);
-  if (ran == at->second.ran_before.end()) return;
+  const Seconds ran = run_before_end(end);
+  if (ran.count() <= 0) return;
   if (job->record.spec.estimate.count() > 0) {
-    const double ratio =
-        std::clamp(ran->second.count() / job->record.spec.estimate.count(), 0.2, 5.0);
+    const double ratio = std::clamp(ran / job->record.spec.estimate, 0.2, 5.0);
     auto [r, first] = run_ratio_.try_emplace(job->record.spec.job_class, 1.0);
     r->second += 0.05 * (ratio - r->second);
   }
-  at->second.ran_before.erase(ran);
+  at->second.ran_before.erase(end.task);
 }
 
 std::vector<Order> Controller::committed(const RoundPlan& plan, Version version, Time now) {
@@ -776,14 +801,11 @@
     end_seen_.erase(end.task);
     spdlog::debug("{}/{} on {} is over: {}", end.task.job.get(), end.task.no, end.machine.get(),
                   end.why);
-    const auto at = machines_.find(end.machine);
-    if (at == machines_.end()) continue;
     if (end.done) {
-      at->second.errors = 0;
-      at->second.failed_jobs.clear();
-      failures_.erase(end.task.job);
+      failures_.record_success(end.machine);
+      failures_.mark_sound(end.task.job);
     } else if (end.why == protocol::to_string(Cause::kError)) {
-      failed(end.task.job, at->second, now);
+      failures_.record_failure(end.task.job, end.machine, run_before_end(end), now);
     }
   }
   std::map<MachineId, Order> by_machine;
@@ -920,7 +942,7 @@
     }
   }
   mute_ = std::move(next);
-  std::erase_if(failures_, [&](const auto& f) { return !ledger_.job(f.first); });
+  judge_failures(now);
   std::erase_if(absent_, [&](const auto& a) { return !ledger_.job(a.first.job); });
 }
 
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -134,7 +134,7 @@
   };
   std::vector<const Job*> jobs;
   for (const auto& [id, job] : ledger_.jobs()) {
-    if (job.pending() == 0) continue;
+    if (job.pending() == 0 || !failures_.may_retry(id, now)) continue;
     const Life* home = home_of(*ledger_.view(), id);
     const bool at_home = home && *home == self_;
     const bool is_new = base::between(job.seen, now) < kFirstOffers;
@@ -160,9 +160,9 @@
 
   // Most machines of a full fleet have room for nothing that waits: they are passed over in one go,
   // not job by job.
-  const auto may_displace = [this](const Job& job) {
+  const auto may_displace = [this, now](const Job& job) {
     const int tier = tier_of(job);
-    return tier <= 3 || tier % 2 == 0;
+    return (tier <= 3 || tier % 2 == 0) && !is_suspect(job.record.spec.id, now);
   };
   std::optional<Resources> least, least_displacing;
   const auto lower_to = [](std::optional<Resources>& to, const Resources& need) {
@@ -207,7 +207,8 @@
     if (gang && room < job->pending()) continue;
     const auto ahead = starved(*job, now);
     if (room == 0 && !ahead && !may_displace(*job)) continue;
-    const std::size_t most = ahead ? *ahead : std::max<std::size_t>(room, 8);
+    std::size_t most = ahead ? *ahead : std::max<std::size_t>(room, 8);
+    if (!gang && is_suspect(spec.id, now)) most = 1;
     std::vector<TaskNo> waiting;
     for (std::size_t c = 0; c < job->chunks.size() && waiting.size() < most; ++c) {
       const auto& record = job->chunks[c].record;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "protocol/id_lists.h"
 
 namespace saddleslip {
 
@@ -43,17 +44,6 @@
   std::this_thread::sleep_for(s);
 }
 
-// The names in an array of that field; none if it is missing or something else.
-template <class Id>
-std::vector<Id> names(const Json& at, const char* field) {
-  std::vector<Id> out;
-  if (!at.is_object() || !at.contains(field) || !at.at(field).is_array()) return out;
-  for (const Json& id : at.at(field)) {
-    if (id.is_string()) out.emplace_back(id.get<std::string>());
-  }
-  return out;
-}
-
 transport::Reply error(int status, const std::string& reason, int retry_after_s = 0) {
   return {status, protocol::error_body(reason), retry_after_s};
 }
@@ -204,21 +194,19 @@
       if (auto parsed = protocol::parse_offers(o)) offers.push_back(std::move(*parsed));
     }
   }
-  const auto cancelled = names<JobId>(body, "cancelled");
+  const auto cancelled = protocol::parse_ids<JobId>(body, "cancelled");
   const auto said = locked([&](coordination::Controller& c) {
     for (const auto& o : offers) c.add_offers(o, now());
     for (const JobId& id : cancelled) c.told_cancelled(id);
     return c.heard_status(*status, now());
   });
   if (!offers.empty() || !cancelled.empty()) round_bell_.ring();
-  Json gone = Json::array(), close = Json::array(), drain = Json::array();
-  for (const auto& id : said.gone) gone.push_back(id.get());
-  for (const auto& id : said.close) close.push_back(id.get());
-  for (const auto& id : said.drain) drain.push_back(id.get());
+  // Its machines lose their tasks if nobody answers them within their lease.
+  if (status->contact == protocol::WorkerContact::kLost) beat_bell_.ring();
   return {200,
-          Json{{"gone", std::move(gone)},
-               {"close", std::move(close)},
-               {"drain", std::move(drain)},
+          Json{{"gone", protocol::ids_to_json(said.gone)},
+               {"close", protocol::ids_to_json(said.close)},
+               {"drain", protocol::ids_to_json(said.drain)},
                {"again", said.again}}
               .dump(),
           0};
@@ -275,7 +263,9 @@
       }
     }
     const Json said = Json::parse(answer.body, nullptr, false);
-    const auto ids = [&said](const char* field) { return names<base::MachineId>(said, field); };
+    const auto ids = [&said](const char* field) {
+      return protocol::parse_ids<base::MachineId>(said, field);
+    };
     const auto gone = ids("gone");
     const bool again = !said.is_object() || said.value("again", true);
     if (again) sibling.bell.ring();
--- a/src/protocol/records.cpp
+++ b/src/protocol/records.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "protocol/id_lists.h"
+
 namespace saddleslip::protocol {
 
 std::string job_key(const JobId& id) {
@@ -233,6 +235,31 @@
   return fleet;
 }
 
+namespace {
+
+constexpr const char* kContactGood = "good";
+constexpr const char* kContactLost = "lost";
+
+const char* to_string(WorkerContact contact) {
+  switch (contact) {
+    case WorkerContact::kGood:
+      return kContactGood;
+    case WorkerContact::kLost:
+      return kContactLost;
+    case WorkerContact::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
+WorkerContact parse_contact(const std::string& text) {
+  if (text == kContactGood) return WorkerContact::kGood;
+  if (text == kContactLost) return WorkerContact::kLost;
+  return WorkerContact::kUnknown;
+}
+
+}  // namespace
+
 Json to_json(const MemberStatus& s, Time now) {
   Json machines = Json::array();
   for (const MachineRoom& m : s.machines) {
@@ -240,18 +267,17 @@
                         m.tasks > 0 ? 0.0 : base::between(m.idle_since, now).count(), m.images,
                         m.silent, m.unsure, m.soon, m.late});
   }
-  Json left = Json::array();
-  for (const MachineId& id : s.left) left.push_back(id.get());
-  Json back = Json::array();
-  for (const MachineId& id : s.give_back) back.push_back(id.get());
-  Json knocked = Json::array();
-  for (const MachineId& id : s.knocked) knocked.push_back(id.get());
-  Json claims = Json::array();
-  for (const MachineId& id : s.claims) claims.push_back(id.get());
-  return Json{
-      {"from", to_json(s.from)}, {"state", s.has_state},          {"since", s.since},
-      {"upto", s.upto},          {"m", std::move(machines)},      {"left", std::move(left)},
-      {"back", std::move(back)}, {"knocked", std::move(knocked)}, {"claims", std::move(claims)}};
+  return Json{{"from", to_json(s.from)},
+              {"state", s.has_state},
+              {"since", s.since},
+              {"upto", s.upto},
+              {"m", std::move(machines)},
+              {"left", ids_to_json(s.left)},
+              {"back", ids_to_json(s.give_back)},
+              {"knocked", ids_to_json(s.knocked)},
+              {"claims", ids_to_json(s.claims)},
+              {"suspects", ids_to_json(s.suspects)},
+              {"contact", to_string(s.contact)}};
 }
 
 std::optional<MemberStatus> parse_status(const Json& body, Time now) {
@@ -281,10 +307,12 @@
       room.late = m.at(13).get<bool>();
       s.machines.push_back(std::move(room));
     }
-    for (const Json& id : body.at("left")) s.left.emplace_back(id.get<std::string>());
-    for (const Json& id : body.at("back")) s.give_back.emplace_back(id.get<std::string>());
-    for (const Json& id : body.at("knocked")) s.knocked.emplace_back(id.get<std::string>());
-    for (const Json& id : body.at("claims")) s.claims.emplace_back(id.get<std::string>());
+    s.left = parse_ids<MachineId>(body, "left");
+    s.give_back = parse_ids<MachineId>(body, "back");
+    s.knocked = parse_ids<MachineId>(body, "knocked");
+    s.claims = parse_ids<MachineId>(body, "claims");
+    s.suspects = parse_ids<JobId>(body, "suspects");
+    s.contact = parse_contact(body.value("contact", ""));
     return s;
   } catch (const Json::exception&) {
     return {};
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -171,6 +171,9 @@
   bool operator==(const MachineRoom&) const = default;
 };
 
+// Does a member hear the machines that it owns? Unknown while it may not answer them, or has none.
+enum class WorkerContact { kUnknown, kGood, kLost };
+
 // What a member tells of its machines: what changed after `since`, a state of its own telling that
 // the other side has; 0: all of them. Told in full each time, a part of hundreds of machines cost
 // more than all else that a controller does.
@@ -183,6 +186,8 @@
   std::vector<MachineId> give_back;  // machines whose release it asks the leader for
   std::vector<MachineId> knocked;    // machines of others that lately reported here
   std::vector<MachineId> claims;     // ... those of them that can't reach their owners
+  WorkerContact contact = WorkerContact::kUnknown;
+  std::vector<JobId> suspects;  // jobs that fail on every machine, as far as it has seen
 };
 Json to_json(const MemberStatus& status, Time now);
 std::optional<MemberStatus> parse_status(const Json& body, Time now);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -15,6 +15,7 @@
 
 constexpr double kStep = 0.05;
 constexpr double kPull = 0.5;
+constexpr double kNoResponse = 4;  // a worker waits so long where nothing refuses its connection
 // The operators' checks of a whole day.
 constexpr double kForgottenAfter = 75;
 constexpr double kLeftWaitingAfter = 90;
@@ -183,6 +184,7 @@
   ++starts_;
   const auto j = jobs_.find(task.job);
   if (j == jobs_.end()) return broken("invented: a task of an unknown job starts");
+  ++j->second.starts;
   const auto& spec = j->second.spec;
   const std::string text = task.job.get() + "/" + std::to_string(task.no);
   std::map<std::string, int> zones;
@@ -270,9 +272,12 @@
     w.node = (w.node + 1) % nodes_.size();
     w.next_report = t_ + 1.0;
   };
+  if (!nodes_[n].up || !nodes_[n].loaded) return next();
   if (w.mute || cut(name(n), "workers") || cut(name(n), w.id) || cut(name(n), w.zone) ||
-      !nodes_[n].up || !nodes_[n].loaded || t_ < nodes_[n].frozen_until) {
-    return next();
+      t_ < nodes_[n].frozen_until) {
+    next();
+    if (silent_cuts_) w.next_report += kNoResponse;
+    return;
   }
   const auto rep = report_of(w);
   if (w.copies_after >= 0) late_reports_.push_back({t_ + w.copies_after, rep});
@@ -280,7 +285,7 @@
   nodes_[n].rung = true;
   if (w.deaf) {
     next();
-    w.next_report = t_ + 5.0;  // no answer for 4 s, and the next node 1 s later
+    w.next_report += kNoResponse;
     return;
   }
   const Json body = Json::parse(reply.body, nullptr, false);
@@ -346,9 +351,12 @@
         if (a.state == "pulling" && t_ >= a.ready) {
           // On its machine from here on.
           check_start(w, task);
-          if (!job->second.began) job->second.began = t_;
+          if (!job->second.began) {
+            job->second.began = t_;
+            job->second.waited = t_ - std::max(job->second.submitted, troubles_over_);
+          }
           a.state = "running";
-          a.ends = t_ + job->second.run;
+          a.ends = t_ + job->second.fails_after.value_or(job->second.run);
           if (w.sick) {
             a.state = "ended";
             a.cause = "error";
@@ -356,9 +364,10 @@
           changed = true;
         } else if (a.state == "running" && t_ >= a.ends &&
                    job->second.spec.kind != protocol::Kind::kService) {
+          const bool failed = job->second.fails_after.has_value();
           a.state = "ended";
-          a.cause = "done";
-          job->second.done.insert(task.no);
+          a.cause = failed ? "error" : "done";
+          if (!failed) job->second.done.insert(task.no);
           changed = true;
         }
       }
@@ -770,6 +779,9 @@
   }
   for (auto& [id, job] : jobs_) {
     const auto& spec = job.spec;
+    // A job that fails wherever it runs waits for ever: it is left waiting if it is not tried again.
+    if (job.fails_after && job.starts > job.starts_seen) job.room_since.reset();
+    job.starts_seen = job.starts;
     std::set<TaskNo> busy = on[id];
     if (spec.kind != protocol::Kind::kService) busy.insert(job.done.begin(), job.done.end());
     const bool waits = job.accepted && !job.cancel_asked && busy.size() < spec.tasks;
@@ -803,13 +815,15 @@
   }
   for (const auto& [id, job] : jobs_) {
     if (job.cancel_asked || t_ - std::max(job.submitted, troubles_over_) < after) continue;
-    std::vector<std::string> of = {"class " + job.spec.job_class, "team " + job.spec.team};
-    if (job.spec.tasks == largest[job.spec.job_class])
-      of.push_back("the largest of class " + job.spec.job_class);
-    for (const auto& group : of) {
+    const auto count = [&served](const std::string& group, bool is_served) {
       ++served[group].second;
-      if (job.began) ++served[group].first;
-    }
+      if (is_served) ++served[group].first;
+    };
+    const bool began = job.began.has_value();
+    count("class " + job.spec.job_class, began);
+    count("team " + job.spec.team, began);
+    if (job.spec.tasks == largest[job.spec.job_class])
+      count("the largest of class " + job.spec.job_class, began && job.waited <= kServedWithin);
   }
   for (const auto& [group, n] : served) {
     if (n.first * 2 < n.second)
@@ -887,7 +901,10 @@
   const auto option = [&](const char* k, double d) {
     return options.contains(k) ? std::stod(options[k]) : d;
   };
-  if (word == "team") {
+  if (word == "workers") {
+    report_s_ = std::stod(arg());
+    lease_s_ = std::stod(arg());
+  } else if (word == "team") {
     const std::string team = arg();
     const std::string least = arg(), most = arg();
     teams_ += R"(,{"name":")" + team + R"(","cpus":)" + least + R"(,"cpus_max":)" + most + "}";
@@ -953,6 +970,7 @@
     if (options.contains("zone")) job.spec.zone = options["zone"];
     if (options.contains("type")) job.spec.types = {{options["type"]}};
     job.run = option("run", 10);
+    if (options.contains("fails")) job.fails_after = option("fails", 0);
     job.submitted = job.known_at = t_;
     submit(static_cast<std::size_t>(option("node", 0)), jobs_[job.spec.id] = job);
   } else if (word == "cancel") {
@@ -992,6 +1010,8 @@
     if (!state_down_) {
       for (auto& [id, l] : leases_) l.until = t_ + l.ttl;
     }
+  } else if (word == "silent_cuts") {
+    silent_cuts_ = arg() == "on";
   } else if (word == "cloud") {
     cloud_down_ = arg() == "down";
   } else if (word == "die") {
@@ -1072,11 +1092,17 @@
     } else if (what == "gone") {
       const std::string id = arg();
       if (workers_.contains(id)) broken("expected machine " + id + " to be returned");
+    } else if (what == "kept") {
+      const std::string id = arg();
+      if (!workers_.contains(id)) broken("expected machine " + id + " to be kept");
     } else if (what == "machines") {
       const auto want = std::stoul(arg());
       if (workers_.size() != want)
         broken("expected " + std::to_string(want) + " machines, not " +
                std::to_string(workers_.size()));
+    } else if (what == "most_starts_of") {
+      const JobId id(arg());
+      at_most("starts of " + id.get(), jobs_.at(id).starts);
     } else if (what == "most_starts") {
       at_most("starts", starts_);
     } else if (what == "submit") {
--- a/tests/world.h
+++ b/tests/world.h
@@ -4,11 +4,13 @@
 // every step. No clock, no luck: the same scenario plays the same way every time.
 //
 // A scenario is a command a line; # begins a comment.
+//   workers REPORT_S LEASE_S (before nodes)
 //   team NAME LEAST MOST | operators SETTING: VALUE | nodes N | capacity TYPE N      (nodes after both)
 //   machine ID TYPE ZONE [spot] | machines N TYPE ZONE                       (TYPE: small, big)
 //   submit ID KIND tasks= cores= memory= run= rank= team= class= deadline= estimate= node= type= zone=
-//     spot one_zone spread | cancel ID | repeat N EVERY COMMAND (# in it: a number of its own)
+//     spot one_zone spread fails= (each task fails after so long) | cancel ID | repeat N EVERY COMMAND (# in it: a number of its own)
 //   run SECONDS
+//   silent_cuts on|off (what is cut gives no error: a worker waits until its report times out)
 //   crash NODE [BACK_AFTER] | freeze NODE SECONDS | cut A B | mend A B (nodes, state, workers, a machine,
 //     a zone) | state up|down | cloud up|down
 //   die|hang|wake|sick|deaf|hears|mute|speaks ID | some EVERY die|hang|wake | reboot ID SECONDS | notice ID SECONDS
@@ -16,7 +18,7 @@
 //   slow_load NODE SECONDS (between reading the jobs and reading their tasks' records)
 //   lose_commit NODE | late_commit NODE SECONDS | watch_lag NODE SECONDS | unasked NODE
 //   expect done|cancelled ID | running ID N | began ID WITHIN | served | gone MACHINE | machines N
-//     | most_starts N | most_views N | most_releases N | submit STATUS BODY
+//     | kept MACHINE | most_starts N | most_starts_of ID N | most_views N | most_releases N | submit STATUS BODY
 #pragma once
 
 #include <deque>
@@ -106,13 +108,16 @@
   struct JobSim {
     protocol::JobSpec spec;
     double run = 10;
+    std::optional<double> fails_after;  // submitted with a mistake: each task fails after so long
     bool accepted = false, cancel_asked = false;
     std::optional<double> cancelled_at;
     std::string told_final;
     double submitted = 0, known_at = 0;  // when a question about it was last answered
     std::optional<double> began;
+    double waited = 0;  // for its first task, since its submission or the end of all troubles
     std::optional<double> room_since;  // since when a task waits while a machine has room for it
     std::set<TaskNo> done;
+    std::size_t starts = 0, starts_seen = 0;
   };
 
   double t_ = 0;
@@ -186,6 +191,7 @@
   bool repeat_orders_ = false;
   std::set<std::pair<std::string, std::string>> cuts_;
   bool cloud_down_ = false;
+  bool silent_cuts_ = false;  // cut connections hang rather than being reset
   int next_machine_ = 1;
   int repeated_ = 0;
   int fleet_ = 0;  // machines added by the hundred
--- /dev/null
+++ b/tests/world_test.cpp
@@ -0,0 +1,80 @@
+// The operators' checks of a whole day, each seen to fail on a day that breaks it: a check of the
+// scenario runner that never fails would show nothing.
+#include "world.h"
+
+#include <gtest/gtest.h>
+
+#include "base/log.h"
+
+namespace saddleslip::testing {
+
+namespace {
+
+// The failures of a day, in one text.
+std::string failures_of(const std::string& scenario) {
+  if (!std::getenv("LOG_LEVEL")) spdlog::set_level(spdlog::level::off);
+  World world;
+  std::string text;
+  for (const std::string& failure : world.run(scenario)) text += failure + "\n";
+  return text;
+}
+
+}  // namespace
+
+TEST(WholeDay, AJobUnansweredFor75SecondsIsForgotten) {
+  const std::string day =
+      "nodes 2\nmachine m1 small a\nrun 8\nsubmit run-000001 service\nrun 8\n"
+      "unasked n0\nunasked n1\n";
+  EXPECT_EQ(failures_of(day + "run 70\n"), "");
+  EXPECT_NE(failures_of(day + "run 80\n").find("forgotten: no question about run-000001"),
+            std::string::npos);
+}
+
+// Time in which nobody could answer does not count.
+TEST(WholeDay, TroublesDoNotCountTowardsBeingForgotten) {
+  EXPECT_EQ(failures_of("nodes 2\nmachine m1 small a\nrun 8\nsubmit run-000001 service\nrun 8\n"
+                        "state down\nrun 100\nstate up\nrun 40\n"),
+            "");
+}
+
+TEST(WholeDay, LessThanHalfOfAClassFails) {
+  EXPECT_NE(failures_of("nodes 2\nmachine m1 small a\nrun 8\n"
+                        "submit run-000001 array class=x run=2\n"
+                        "submit run-000002 array class=x type=big\n"
+                        "submit run-000003 array class=x type=big\nrun 250\n")
+                .find("served of class x: 1 of 3"),
+            std::string::npos);
+}
+
+TEST(WholeDay, LessThanHalfOfATeamFails) {
+  EXPECT_NE(failures_of("team u 0 0\nnodes 2\nmachine m1 small a\nrun 8\n"
+                        "submit run-000001 array class=x run=2\n"
+                        "submit run-000002 array class=x run=2\n"
+                        "submit run-000003 array class=x team=u type=big\nrun 250\n")
+                .find("served of team u: 0 of 1"),
+            std::string::npos);
+}
+
+TEST(WholeDay, AClassesLargestJobsMustBeginWithinFourMinutes) {
+  const std::string day =
+      "nodes 2\nmachine m1 small a\nrun 8\n"
+      "submit run-000001 array class=x run=2\n"
+      "submit run-000002 array class=x run=2\n"
+      "submit run-000003 array class=x tasks=9 type=big\n";
+  EXPECT_EQ(failures_of(day + "run 230\n"), "");  // not due yet
+  EXPECT_NE(failures_of(day + "run 250\n").find("served of the largest of class x: 0 of 1"),
+            std::string::npos);
+}
+
+// A job that began too late was not served in time, however well it ran afterwards.
+TEST(WholeDay, BeginningAfterFourMinutesIsTooLate) {
+  EXPECT_NE(failures_of("nodes 2\nmachine m1 small a\nrun 8\n"
+                        "submit run-000001 array class=x run=2\n"
+                        "submit run-000002 array class=x run=2\n"
+                        "submit run-000003 array class=x tasks=9 type=big run=2\nrun 245\n"
+                        "machine m2 big a\nrun 60\n")
+                .find("served of the largest of class x: 0 of 1"),
+            std::string::npos);
+}
+
+}  // namespace saddleslip::testing
