Job priorities are a class of their own

Tiers, guarantees, due times, long waits and learned run times were members of Controller; the numbers in them have names now.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -25,7 +25,8 @@
 
 }  // namespace
 
-Controller::Controller(const base::Settings& settings) : settings_(settings), ledger_(settings) {}
+Controller::Controller(const base::Settings& settings)
+    : settings_(settings), ledger_(settings), priorities_(settings_, ledger_) {}
 
 // --- membership
 
@@ -743,11 +744,12 @@
         job.done >= spec.tasks || is_suspect(id, now)) {
       continue;
     }
-    double by = due(job, now);
+    double by = priorities_.due(job, now);
     // All tasks should have begun within what the objectives say, while that can still be.
-    if (const auto within = start_within(spec)) {
+    if (const auto within = priorities_.start_within(spec)) {
       const double last = job.record.submitted + within->count();
-      if (last > wall(now)) by = std::min(by, last + run_time(spec).count());
+      if (last > priorities_.time_of_day(now))
+        by = std::min(by, last + priorities_.run_time(spec).count());
     }
     jobs.emplace_back(by, &job);
   }
@@ -756,8 +758,9 @@
   double work = 0, running = 0, needed = 0;
   for (const auto& [by, job] : jobs) {
     const auto& spec = job->record.spec;
-    const double each = run_time(spec).count() * 1.2, cores = std::max(0.01, spec.need.cores());
-    const double left = by - wall(now) - boot * 1.5;
+    const double each = priorities_.run_time(spec).count() * 1.2,
+                 cores = std::max(0.01, spec.need.cores());
+    const double left = by - priorities_.time_of_day(now) - boot * 1.5;
     // Whole runs, one after the other.
     const double waves = std::clamp(std::floor(left / (each * 1.3)), 1.0, 3.0);
     work += (job->pending() + 0.6 * job->held) * each * cores;
@@ -874,7 +877,7 @@
     Demand d;
     d.need = spec.need;
     d.count = n;
-    d.tier = tier_of(job);
+    d.tier = priorities_.tier(job);
     d.spec = &spec;
     in.demand.push_back(d);
     waiting = true;
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -14,6 +14,7 @@
 #include "bookkeeping/machines.h"
 #include "coordination/failure_tracker.h"
 #include "coordination/fleet.h"
+#include "coordination/job_priorities.h"
 #include "coordination/view.h"
 
 namespace saddleslip::coordination {
@@ -126,9 +127,7 @@
   void close_idle(const std::vector<MachineId>& machines);
   void drain(const std::vector<MachineId>& machines);
 
-  void tell_time(Time now, double wall_now) {
-    wall_offset_ = wall_now - base::between(Time{}, now).count();
-  }
+  void tell_time(Time now, double wall_now) { priorities_.set_time_of_day(now, wall_now); }
 
   // Another controller's word that this job's cancellation is committed, ahead of the watch, which may
   // be silent here: the state service may refuse this node alone, and its authority, that lasts for a
@@ -241,28 +240,20 @@
   void count_arrivals(Time now);
   std::map<JobId, std::size_t> timely_share(Time now, double boot) const;
   void preempt(const std::vector<std::pair<const Job*, std::size_t>>& waiting, Time now);
-  int tier_of(const Job& job) const;
   // Has it waited so long that it goes before others? Then so many of its tasks do.
   std::optional<std::size_t> starved(const Job& job, Time now) const;
   void gather_room(const Job& job, Time now);
-  void find_guaranteed(Time now);
   // Machines that the record has tasks on, that this node owns, and that have not reported to it.
   const std::vector<MachineId>& unheard_owned(Time now);
-  // When a job should be complete, by the time of day: its deadline while that can be kept, then
-  // the later ones that the objectives name; without any, far off.
-  double due(const Job& job, Time now) const;
-  Seconds run_time(const protocol::JobSpec& spec) const;
-  // How soon a job of this class should start, if the objectives say.
-  std::optional<Seconds> start_within(const protocol::JobSpec& spec) const;
   Seconds fetch_time(const Machine& m, const protocol::JobSpec& spec) const;
   bool displaces_for_image(const Job& job, Time now) const;
-  double wall(Time now) const { return base::between(Time{}, now).count() + wall_offset_; }
   // The machines of each part whose owner was heard of lately. The pointers hold until the machines
   // or the siblings' words change.
   Parts parts(Time now, Seconds remembered);
 
   const base::Settings& settings_;
   Ledger ledger_;
+  JobPriorities priorities_;
   Life self_;
   bool alive_ = false;
   Time alive_since_{};
@@ -306,12 +297,8 @@
   std::set<JobId> accepted_;
   std::map<JobId, std::size_t> displacing_;  // how often a part was asked to make room
   FailureTracker failures_;
-  std::set<JobId> guaranteed_;
-  std::pair<std::uint64_t, Time> guaranteed_at_{};
   std::vector<MachineId> unheard_owned_;
   Time unheard_owned_at_{};
-  double wall_offset_ = 0;
-  std::map<std::string, double> run_ratio_;  // run times against estimates, by class
   std::map<JobId, Time> preempting_;
 
   std::map<MemberId, Sibling> siblings_;
--- /dev/null
+++ b/src/coordination/job_priorities.cpp
@@ -0,0 +1,136 @@
+#include "coordination/job_priorities.h"
+
+#include <algorithm>
+
+namespace saddleslip::coordination {
+
+using base::Seconds;
+using base::Time;
+using bookkeeping::Job;
+using protocol::Rank;
+using protocol::Resources;
+
+namespace {
+
+constexpr Seconds kGuaranteesFresh{0.5};  // others' progress makes room, which can wait a moment
+constexpr std::size_t kOverdueShare = 4;  // so large a part of an overdue job's tasks goes first
+constexpr double kNoDeadline = 1e15;      // due after everything with a deadline
+constexpr double kDeadlineLost = 1e14;    // due after all that can still be in time
+constexpr double kAnyMemory = 1e12;       // guarantees are of cores and GPUs only
+constexpr double kLearningRate = 0.05;    // of run times, by class
+constexpr double kLeastRatio = 0.2, kMostRatio = 5.0;
+constexpr Seconds kShortestRun{1.0};
+
+}  // namespace
+
+void JobPriorities::set_time_of_day(Time now, double seconds) {
+  time_of_day_offset_ = seconds - base::between(Time{}, now).count();
+}
+
+double JobPriorities::time_of_day(Time now) const {
+  return base::between(Time{}, now).count() + time_of_day_offset_;
+}
+
+void JobPriorities::update_guarantees(Time now) {
+  // A job that comes must be known at once.
+  if (guaranteed_for_ == ledger_.job_changes() &&
+      base::between(guaranteed_at_, now) < kGuaranteesFresh) {
+    return;
+  }
+  guaranteed_for_ = ledger_.job_changes();
+  guaranteed_at_ = now;
+  guaranteed_.clear();
+  const auto has_guarantee = [](const base::Team& t) { return t.cores > 0 || t.gpus > 0; };
+  if (std::none_of(settings_.teams.begin(), settings_.teams.end(),
+                   [&](const auto& t) { return has_guarantee(t.second); })) {
+    return;
+  }
+  std::map<std::string, std::vector<const Job*>> by_team;
+  for (const auto& [id, job] : ledger_.jobs()) {
+    if (!job.cancelled()) by_team[job.record.spec.team].push_back(&job);
+  }
+  for (auto& [name, jobs] : by_team) {
+    const auto team = settings_.teams.find(name);
+    if (team != settings_.teams.end() && has_guarantee(team->second))
+      guarantee_jobs_of(team->second, jobs);
+  }
+}
+
+void JobPriorities::guarantee_jobs_of(const base::Team& team, std::vector<const Job*>& jobs) {
+  std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+    return a->record.submitted != b->record.submitted ? a->record.submitted < b->record.submitted
+                                                      : a->record.spec.id < b->record.spec.id;
+  });
+  Resources left;
+  left.v = {team.cores, team.gpus, kAnyMemory};
+  for (const Job* job : jobs) {
+    const auto& spec = job->record.spec;
+    const Resources needs = spec.need * static_cast<double>(spec.tasks - job->done);
+    if (!left.fits(needs)) break;
+    left -= needs;
+    guaranteed_.insert(spec.id);
+  }
+}
+
+bool JobPriorities::is_guaranteed(const Job& job) const {
+  return guaranteed_.contains(job.record.spec.id);
+}
+
+int JobPriorities::tier(const Job& job) const {
+  return static_cast<int>(job.record.spec.rank) * 2 + (is_guaranteed(job) ? 0 : 1);
+}
+
+bool JobPriorities::is_urgent(const Job& job) {
+  return job.record.spec.rank <= Rank::kUrgent;
+}
+
+double JobPriorities::due(const Job& job, Time now) const {
+  const auto& spec = job.record.spec;
+  if (!spec.deadline) return kNoDeadline + job.record.submitted;
+  const double least = time_of_day(now) + run_time(spec).count();
+  // The earliest of the deadline and the later ones that can still be kept.
+  double soonest = 0;
+  const auto consider = [&](double after_s) {
+    const double at = job.record.submitted + after_s;
+    if (at > least && (soonest == 0 || at < soonest)) soonest = at;
+  };
+  consider(spec.deadline->count());
+  for (const base::Objective& o : settings_.objectives) {
+    if (o.job_class != spec.job_class) continue;
+    if (o.kind == "deadline") consider(spec.deadline->count() * o.times);
+    if (o.kind == "finished") consider(o.within_s);
+  }
+  return soonest > 0 ? soonest : kDeadlineLost + job.record.submitted;
+}
+
+std::optional<Seconds> JobPriorities::start_within(const protocol::JobSpec& spec) const {
+  for (const base::Objective& o : settings_.objectives) {
+    if (o.kind == "wait" && o.job_class == spec.job_class) return Seconds(o.within_s);
+  }
+  return {};
+}
+
+std::optional<std::size_t> JobPriorities::overdue_tasks(const Job& job, Time now) const {
+  if (job.pending() == 0) return {};
+  // What never began has waited since it was submitted, whichever process saw it.
+  const bool began = job.held > 0 || job.done > 0;
+  const double waited =
+      began ? base::between(job.moved, now).count() : time_of_day(now) - job.record.submitted;
+  if (waited < settings_.tuning.longest_wait.count()) return {};
+  return std::max<std::size_t>(1, job.pending() / kOverdueShare);
+}
+
+Seconds JobPriorities::run_time(const protocol::JobSpec& spec) const {
+  const auto ratio = run_ratio_.find(spec.job_class);
+  return std::max(kShortestRun, spec.estimate * (ratio == run_ratio_.end() ? 1.0 : ratio->second));
+}
+
+// Estimates mislead, often all of a class in the same direction.
+void JobPriorities::learn_run_time(const protocol::JobSpec& spec, Seconds ran) {
+  if (spec.estimate.count() <= 0 || ran.count() <= 0) return;
+  const double ratio = std::clamp(ran / spec.estimate, kLeastRatio, kMostRatio);
+  double& learned = run_ratio_.try_emplace(spec.job_class, 1.0).first->second;
+  learned += kLearningRate * (ratio - learned);
+}
+
+}  // namespace saddleslip::coordination
--- /dev/null
+++ b/src/coordination/job_priorities.h
@@ -0,0 +1,57 @@
+// The order in which jobs get room: priority, team guarantees, due times and long waits.
+//
+// Takes the time as an argument and asks the copy of the store's records; not safe for use from
+// several threads at once.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "bookkeeping/ledger.h"
+
+namespace saddleslip::coordination {
+
+class JobPriorities {
+ public:
+  JobPriorities(const base::Settings& settings, const bookkeeping::Ledger& ledger)
+      : settings_(settings), ledger_(ledger) {}
+
+  // Relates the steady clock to the time of day, by which submissions are dated.
+  void set_time_of_day(base::Time now, double seconds);
+  double time_of_day(base::Time now) const;
+
+  // Works out anew which jobs are within their team's guarantee, if that may have changed.
+  void update_guarantees(base::Time now);
+  // Does the job fit into its team's guarantee together with the team's earlier unfinished jobs?
+  bool is_guaranteed(const bookkeeping::Job& job) const;
+  // Lower tiers come first: by rank, and within a rank what is guaranteed first.
+  int tier(const bookkeeping::Job& job) const;
+  static bool is_urgent(const bookkeeping::Job& job);
+
+  // When a job should be complete, by the time of day: its deadline while that can be kept, then
+  // the later ones that the objectives name; without any, far off.
+  double due(const bookkeeping::Job& job, base::Time now) const;
+  // How soon a job of this class should start, if the objectives say.
+  std::optional<base::Seconds> start_within(const protocol::JobSpec& spec) const;
+  // Has it waited so long that it goes before others? Then so many of its tasks do.
+  std::optional<std::size_t> overdue_tasks(const bookkeeping::Job& job, base::Time now) const;
+
+  // The owner's estimate, corrected by what was learned of the class.
+  base::Seconds run_time(const protocol::JobSpec& spec) const;
+  void learn_run_time(const protocol::JobSpec& spec, base::Seconds ran);
+
+ private:
+  void guarantee_jobs_of(const base::Team& team, std::vector<const bookkeeping::Job*>& jobs);
+
+  const base::Settings& settings_;
+  const bookkeeping::Ledger& ledger_;
+  double time_of_day_offset_ = 0;
+  std::set<base::JobId> guaranteed_;
+  std::uint64_t guaranteed_for_ = 0;  // the ledger's count of job changes then
+  base::Time guaranteed_at_{};
+  std::map<std::string, double> run_ratio_;  // run times against estimates, by class
+};
+
+}  // namespace saddleslip::coordination
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -17,16 +17,14 @@
 
 namespace {
 
-constexpr Seconds kSuspicionFresh{5.0};   // a sibling's word that a job fails everywhere
-constexpr std::size_t kStarvedShare = 4;  // so large a part of a starved job's tasks goes first
+constexpr Seconds kSuspicionFresh{5.0};  // a sibling's word that a job fails everywhere
 constexpr Seconds kGatherFor{60.0};
 constexpr std::size_t kGatherOneOf = 20;  // one machine of so many, and one more
 constexpr Seconds kStopRepeat{2.0};
-constexpr Seconds kGuaranteedFor{0.5};
 constexpr Seconds kUnheardFor{0.3};
 constexpr Seconds kLostAnswer{6.0};
 constexpr double kNearLimit = 0.8;  // of a team's limit: ends are recorded at once from here on
-constexpr int kLastUrgentTier = 3;  // critical and urgent, within a guarantee or not
+constexpr int kLastTier = 99;       // of what is known no more
 constexpr int kSlowFetch = 6;       // the pass of machines that can't fetch the image in time
 constexpr Seconds kPreemptRepeat{6.0};
 constexpr Seconds kDisplaceFor{1.5};
@@ -36,16 +34,6 @@
 
 }  // namespace
 
-std::optional<std::size_t> Controller::starved(const Job& job, Time now) const {
-  if (job.pending() == 0 || is_suspect(job.record.spec.id, now)) return {};
-  // What never began has waited since it was submitted, whichever process saw it.
-  const bool began = job.held > 0 || job.done > 0;
-  const double waited =
-      began ? base::between(job.moved, now).count() : wall(now) - job.record.submitted;
-  if (waited < settings_.tuning.longest_wait.count()) return {};
-  return std::max<std::size_t>(1, job.pending() / kStarvedShare);
-}
-
 // Keeps a machine free of other work until a task of the job fits on it. Under lasting overload a
 // large task would never find room that small ones did not take first.
 void Controller::gather_room(const Job& job, Time now) {
@@ -78,61 +66,6 @@
   gathered_[best->last.machine] = {spec.id, base::after(now, kGatherFor), true};
 }
 
-int Controller::tier_of(const Job& job) const {
-  return static_cast<int>(job.record.spec.rank) * 2 +
-         (guaranteed_.contains(job.record.spec.id) ? 0 : 1);
-}
-
-// A job is within its team's guarantee if it fits into it with the team's earlier unfinished jobs.
-void Controller::find_guaranteed(Time now) {
-  // A job that comes must be known at once; what others' progress makes room for can wait a moment.
-  if (guaranteed_at_.first == ledger_.job_changes() &&
-      base::between(guaranteed_at_.second, now) < kGuaranteedFor) {
-    return;
-  }
-  guaranteed_at_ = {ledger_.job_changes(), now};
-  guaranteed_.clear();
-  if (std::none_of(settings_.teams.begin(), settings_.teams.end(),
-                   [](const auto& t) { return t.second.cores > 0 || t.second.gpus > 0; })) {
-    return;
-  }
-  std::map<std::string, std::vector<const Job*>> by_team;
-  for (const auto& [id, job] : ledger_.jobs()) {
-    if (!job.cancelled()) by_team[job.record.spec.team].push_back(&job);
-  }
-  for (auto& [name, jobs] : by_team) {
-    const auto team = settings_.teams.find(name);
-    if (team == settings_.teams.end() || (team->second.cores <= 0 && team->second.gpus <= 0)) {
-      continue;
-    }
-    std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
-      return a->record.submitted != b->record.submitted ? a->record.submitted < b->record.submitted
-                                                        : a->record.spec.id < b->record.spec.id;
-    });
-    Resources left;
-    left.v = {team->second.cores, team->second.gpus, 1e12};
-    for (const Job* job : jobs) {
-      const auto& spec = job->record.spec;
-      const Resources needs = spec.need * static_cast<double>(spec.tasks - job->done);
-      if (!left.fits(needs)) break;
-      left -= needs;
-      guaranteed_.insert(spec.id);
-    }
-  }
-}
-
-Seconds Controller::run_time(const protocol::JobSpec& spec) const {
-  const auto r = run_ratio_.find(spec.job_class);
-  return std::max(Seconds(1.0), spec.estimate * (r == run_ratio_.end() ? 1.0 : r->second));
-}
-
-std::optional<Seconds> Controller::start_within(const protocol::JobSpec& spec) const {
-  for (const base::Objective& o : settings_.objectives) {
-    if (o.kind == "wait" && o.job_class == spec.job_class) return Seconds(o.within_s);
-  }
-  return {};
-}
-
 Seconds Controller::fetch_time(const Machine& m, const protocol::JobSpec& spec) const {
   if (m.has_image(spec.image)) return Seconds(0);
   const auto* type = ledger_.type(m.last.type);
@@ -158,7 +91,7 @@
 // elsewhere? For a moment only: what was stopped for it must have ended by then.
 bool Controller::displaces_for_image(const Job& job, Time now) const {
   const auto& spec = job.record.spec;
-  if (spec.rank > Rank::kUrgent || !start_within(spec)) return false;
+  if (spec.rank > Rank::kUrgent || !priorities_.start_within(spec)) return false;
   const auto since = preempting_.find(spec.id);
   if (since != preempting_.end() && base::between(since->second, now) > kDisplaceFor) return false;
   for (const auto& [id, m] : machines_) {
@@ -174,27 +107,6 @@
   return false;
 }
 
-double Controller::due(const Job& job, Time now) const {
-  const auto& spec = job.record.spec;
-  if (!spec.deadline) return 1e15 + job.record.submitted;
-  const double least = wall(now) + run_time(spec).count();
-  // The earliest of the deadline and the later ones that can still be kept.
-  double soonest = 0;
-  const auto consider = [&](double after_s) {
-    const double at = job.record.submitted + after_s;
-    if (at > least && (soonest == 0 || at < soonest)) soonest = at;
-  };
-  consider(spec.deadline->count());
-  for (const base::Objective& o : settings_.objectives) {
-    if (o.job_class != spec.job_class) continue;
-    if (o.kind == "deadline") consider(spec.deadline->count() * o.times);
-    if (o.kind == "finished") consider(o.within_s);
-  }
-  if (soonest > 0) return soonest;
-  // Lost: after all that can still be in time, the oldest first.
-  return 1e14 + job.record.submitted;
-}
-
 void Controller::add_offers(const protocol::Offers& offers, Time now) {
   const Time until = base::after(now, settings_.tuning.round_period * 2.5);
   for (const protocol::Offer& o : offers.offers) pool_.push_back({o.job, o.ranges, until});
@@ -231,6 +143,11 @@
   }
 }
 
+std::optional<std::size_t> Controller::starved(const Job& job, Time now) const {
+  if (is_suspect(job.record.spec.id, now)) return {};
+  return priorities_.overdue_tasks(job, now);
+}
+
 bool Controller::is_suspect(const JobId& id, Time now) const {
   if (failures_.is_suspect(id)) return true;
   const Job* job = ledger_.job(id);
@@ -339,7 +256,7 @@
   }
   if (!entitled_since_) entitled_since_ = now;
   housekeeping(now);
-  find_guaranteed(now);
+  priorities_.update_guarantees(now);
 
   struct Edit {
     const Job* job;
@@ -379,8 +296,9 @@
   std::vector<RoundPlan::End*> later;
   for (RoundPlan::End& end : ends) {
     const Job* job = ledger_.job(end.task.job);
-    const int tier = job ? tier_of(*job) : 99;
-    if (can_wait(end, ended, now) || (pace == Pace::kUrgent && tier > kLastUrgentTier)) {
+    const int tier = job ? priorities_.tier(*job) : kLastTier;
+    if (can_wait(end, ended, now) ||
+        (pace == Pace::kUrgent && !(job && JobPriorities::is_urgent(*job)))) {
       later.push_back(&end);
     } else {
       now_due.push_back({tier, &end});
@@ -411,7 +329,7 @@
   for (const PoolEntry& p : pool_) {
     const Job* job = ledger_.job(p.job);
     if (!job || job->cancelled()) continue;
-    if (pace == Pace::kUrgent && tier_of(*job) > kLastUrgentTier) continue;
+    if (pace == Pace::kUrgent && !JobPriorities::is_urgent(*job)) continue;
     if (!failures_.may_retry(p.job, now)) continue;
     const auto [at, is_new] = index.try_emplace(p.job, waiting.size());
     if (is_new) waiting.push_back({job, {}, {}, true});
@@ -456,7 +374,7 @@
   if (!room.fits(wanted)) {
     std::vector<std::pair<double, std::size_t>> by_due;
     for (std::size_t i = 0; i < waiting.size(); ++i) {
-      by_due.emplace_back(due(*waiting[i].job, now), i);
+      by_due.emplace_back(priorities_.due(*waiting[i].job, now), i);
     }
     std::sort(by_due.begin(), by_due.end());
     for (std::size_t i = 0; i < by_due.size(); ++i) order[by_due[i].second] = static_cast<int>(i);
@@ -522,7 +440,7 @@
     // Which machines with room come first. An image that has to be fetched can take longer than
     // all else. And where some zones have no controller, a cut between zones takes all that runs
     // there: services go where controllers are, and other work leaves them the room.
-    const auto within = start_within(spec);
+    const auto within = priorities_.start_within(spec);
     const bool displaces = displaces_for_image(*w.job, now);
     g.pass = [&, within, displaces](std::size_t b) {
       const Machine& m = *at_bin[b];
@@ -539,8 +457,8 @@
       const bool reachable = settings_.controller_zones.contains(m.last.zone);
       return image + (reachable == (spec.kind == Kind::kService) ? 0 : 1);
     };
-    g.tier =
-        (first ? -1 : tier_of(*w.job)) * jobs + order[static_cast<std::size_t>(&w - &waiting[0])];
+    g.tier = (first ? -1 : priorities_.tier(*w.job)) * jobs +
+             order[static_cast<std::size_t>(&w - &waiting[0])];
     groups.push_back(std::move(g));
   }
   pack(groups, bins, scale);
@@ -659,7 +577,7 @@
   });
   std::map<std::string, double> stopping;  // cores of each team's tasks that were told to stop
   if (std::any_of(waiting.begin(), waiting.end(),
-                  [&](const auto& w) { return guaranteed_.contains(w.first->record.spec.id); })) {
+                  [&](const auto& w) { return priorities_.is_guaranteed(*w.first); })) {
     for (const auto& [id, m] : machines_) {
       for (const TaskId& t : m.evict) {
         const Job* job = ledger_.job(t.job);
@@ -671,8 +589,8 @@
   }
   for (const auto& [job, count] : waiting) {
     const auto& spec = job->record.spec;
-    const bool guaranteed = tier_of(*job) % 2 == 0;
-    if ((spec.rank > Rank::kUrgent && !guaranteed) || preempting_.contains(spec.id)) continue;
+    const bool guaranteed = priorities_.is_guaranteed(*job);
+    if ((!JobPriorities::is_urgent(*job) && !guaranteed) || preempting_.contains(spec.id)) continue;
     // At its team's limit only the team's own lower work can give way.
     double over = 0;
     if (ledger_.limited(spec.team)) {
@@ -689,7 +607,7 @@
       // Only what another team runs beyond its guarantee, and no more of it than that: a job within
       // the guarantee, once stopped, would stop others in its turn, and so on for ever.
       if (!guaranteed || o.team == spec.team || o.kind == Kind::kService ||
-          guaranteed_.contains(o.id)) {
+          priorities_.is_guaranteed(other)) {
         return false;
       }
       const auto team = settings_.teams.find(o.team);
@@ -775,18 +693,11 @@
   return ran == at->second.ran_before.end() ? Seconds(0) : ran->second;
 }
 
-// Estimates mislead, often all of a class in the same direction.
 void Controller::learn_run_time(const RoundPlan::End& end) {
   const auto at = machines_.find(end.machine);
   const Job* job = ledger_.job(end.task.job);
   if (at == machines_.end() || !job) return;
-  const Seconds ran = run_before_end(end);
-  if (ran.count() <= 0) return;
-  if (job->record.spec.estimate.count() > 0) {
-    const double ratio = std::clamp(ran / job->record.spec.estimate, 0.2, 5.0);
-    auto [r, first] = run_ratio_.try_emplace(job->record.spec.job_class, 1.0);
-    r->second += 0.05 * (ratio - r->second);
-  }
+  priorities_.learn_run_time(job->record.spec, run_before_end(end));
   at->second.ran_before.erase(end.task);
 }
 
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -141,7 +141,7 @@
     if (accepted_.contains(id) ? at_home || is_new : at_home && !is_new) jobs.push_back(&job);
   }
   if (jobs.empty()) return out;
-  find_guaranteed(now);
+  priorities_.update_guarantees(now);
   // Urgent ones see the free room first; among equals what is due first.
   struct Turn {
     int tier;
@@ -153,16 +153,16 @@
   };
   std::vector<Turn> turns;
   for (const Job* job : jobs) {
-    turns.push_back(
-        {starved(*job, now) ? -1 : tier_of(*job), due(*job, now), job->record.submitted, job});
+    turns.push_back({starved(*job, now) ? -1 : priorities_.tier(*job), priorities_.due(*job, now),
+                     job->record.submitted, job});
   }
   std::stable_sort(turns.begin(), turns.end());
 
   // Most machines of a full fleet have room for nothing that waits: they are passed over in one go,
   // not job by job.
   const auto may_displace = [this, now](const Job& job) {
-    const int tier = tier_of(job);
-    return (tier <= 3 || tier % 2 == 0) && !is_suspect(job.record.spec.id, now);
+    return (JobPriorities::is_urgent(job) || priorities_.is_guaranteed(job)) &&
+           !is_suspect(job.record.spec.id, now);
   };
   std::optional<Resources> least, least_displacing;
   const auto lower_to = [](std::optional<Resources>& to, const Resources& need) {
@@ -228,7 +228,8 @@
       }
     };
     std::size_t next = 0;
-    const bool hurries = spec.rank <= protocol::Rank::kUrgent && start_within(spec).has_value();
+    const bool hurries =
+        JobPriorities::is_urgent(*job) && priorities_.start_within(spec).has_value();
     if (gang && waiting.size() < job->pending()) continue;
     if (room > 0 && spec.kind != protocol::Kind::kService && !spec.one_zone) {
       // Arrays are split by free room; a record's tasks stay together as far as that goes, so that
