--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -533,7 +533,9 @@
         o.over.push_back({task, "never started", false});
       }
       o.free -= spec.need;
-      if (spec.rank >= protocol::Rank::kStandard && !m.evict.contains(task)) o.lower += spec.need;
+      if (m.evict.contains(task)) continue;
+      if (spec.rank >= protocol::Rank::kStandard) o.lower += spec.need;
+      if (spec.rank == protocol::Rank::kIdle) o.idle_rank += spec.need;
     }
   }
   bool strange = false;
@@ -571,7 +573,7 @@
   const bool late = base::between(m.heard, now) > settings_.report_every * bookkeeping::kOverdue;
   if (!is_new && r.silent == silent && r.late == late && r.soon == soon && r.unsure == unsure &&
       r.open == open && r.idle_since == idle && r.tasks == o.held && r.free == o.free &&
-      r.lower == o.lower &&
+      r.lower == o.lower && r.idle_rank == o.idle_rank &&
       (m.room_report == report ||
        std::equal(r.images.begin(), r.images.end(), m.images.begin(), m.images.end(),
                   [](const std::string& a, const auto& b) { return a == b.first; }))) {
@@ -591,6 +593,7 @@
   r.open = open;
   r.free = o.free;
   r.lower = o.lower;
+  r.idle_rank = o.idle_rank;
   r.tasks = o.held;
   r.idle_since = idle;
   if (is_new || m.room_report != report) {
@@ -879,7 +882,14 @@
     d.count = n;
     d.tier = priorities_.tier(job);
     d.spec = &spec;
+    d.spot_only = priorities_.is_spare_time(spec);
     in.demand.push_back(d);
+    if (d.spot_only && starved(job, now)) {
+      // It has waited too long for what others leave over: one task, wherever it may run.
+      d.count = 1;
+      d.spot_only = false;
+      in.demand.push_back(d);
+    }
     waiting = true;
   }
   for (const auto& [name, a] : arrivals_) {
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -120,6 +120,7 @@
         for (const bool spot : {true, false}) {
           if (d.spec ? !may_run(*d.spec, t.name, zone, spot) : spot) continue;
           if (spot && in.spot_share <= 0) continue;
+          if (d.spot_only && !spot) continue;
           if (cut_off(zone) && !(d.spec && d.spec->zone)) continue;
           const MachineKind k{t.name, zone, spot};
           const auto refused = in.refused.find(k);
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -32,6 +32,7 @@
   std::size_t count = 0;
   int tier = 0;
   const protocol::JobSpec* spec = nullptr;  // where it may run
+  bool spot_only = false;                   // not worth an ordinary machine of its own
 };
 
 struct FleetInput {
--- a/src/coordination/job_priorities.cpp
+++ b/src/coordination/job_priorities.cpp
@@ -110,6 +110,18 @@
   return {};
 }
 
+JobPriorities::Displaces JobPriorities::displaces(const Job& job) const {
+  if (is_urgent(job) || is_guaranteed(job)) return Displaces::kLowerWork;
+  const auto& spec = job.record.spec;
+  return spec.rank == Rank::kStandard && spec.deadline ? Displaces::kIdleRank : Displaces::kNothing;
+}
+
+bool JobPriorities::is_spare_time(const protocol::JobSpec& spec) const {
+  return spec.rank == Rank::kIdle && !spec.deadline &&
+         std::none_of(settings_.objectives.begin(), settings_.objectives.end(),
+                      [&](const base::Objective& o) { return o.job_class == spec.job_class; });
+}
+
 std::optional<std::size_t> JobPriorities::overdue_tasks(const Job& job, Time now) const {
   if (job.pending() == 0) return {};
   // What never began has waited since it was submitted, whichever process saw it.
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -590,7 +590,9 @@
   for (const auto& [job, count] : waiting) {
     const auto& spec = job->record.spec;
     const bool guaranteed = priorities_.is_guaranteed(*job);
-    if ((!JobPriorities::is_urgent(*job) && !guaranteed) || preempting_.contains(spec.id)) continue;
+    const auto displaces = priorities_.displaces(*job);
+    if (displaces == JobPriorities::Displaces::kNothing || preempting_.contains(spec.id)) continue;
+    const bool idle_only = displaces == JobPriorities::Displaces::kIdleRank;
     // At its team's limit only the team's own lower work can give way.
     double over = 0;
     if (ledger_.limited(spec.team)) {
@@ -601,6 +603,7 @@
     }
     const auto may_stop = [&](const Job& other) {
       const auto& o = other.record.spec;
+      if (idle_only && o.rank != Rank::kIdle) return false;
       if (over > 1e-6 && o.team != spec.team) return false;
       if (o.rank > spec.rank) return true;
       if (over > 1e-6) return false;
@@ -630,6 +633,13 @@
         }
         const auto other_job = gathered_.find(id);
         if (other_job != gathered_.end() && other_job->second.job != spec.id) continue;
+        Resources room = look(m).free;
+        room += being_stopped(m);
+        room -= taken[id];
+        Resources most = room;
+        most += idle_only ? look(m).idle_rank : look(m).lower;
+        // What a guarantee may take is more than what is of lower rank.
+        if (!guaranteed && !most.fits(spec.need)) continue;
         struct Victim {
           TaskId task;
           Resources need;
@@ -644,13 +654,12 @@
           }
           const auto ran = m.ran.find(task);
           const double lost = ran == m.ran.end() ? 0 : base::between(ran->second, now).count();
+          // Stopped again as soon as it began, spare-time work would never be served.
+          if (idle_only && lost < kSettled.count()) continue;
           candidates.push_back({task, other->record.spec.need, lost});
         }
         std::sort(candidates.begin(), candidates.end(),
                   [](const Victim& a, const Victim& b) { return a.lost < b.lost; });
-        Resources room = look(m).free;
-        room += being_stopped(m);
-        room -= taken[id];
         double lost = 0, excess = over;
         std::vector<TaskId> chosen;
         for (const Victim& v : candidates) {
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -20,7 +20,14 @@
 // A machine of a part, less what was offered to it here.
 struct Place {
   const MachineRoom* machine;
-  Resources free, lower;
+  Resources free, lower, idle_rank;
+
+  Resources& yielding(JobPriorities::Displaces displaces) {
+    return displaces == JobPriorities::Displaces::kIdleRank ? idle_rank : lower;
+  }
+  const Resources& yielding(JobPriorities::Displaces displaces) const {
+    return displaces == JobPriorities::Displaces::kIdleRank ? idle_rank : lower;
+  }
 };
 
 // What a part could do for one job.
@@ -39,7 +46,8 @@
   double free_cores = 0;
 
   Chances chances(const protocol::JobSpec& spec, const std::set<std::string>& near_zones,
-                  bool may_displace) const {
+                  JobPriorities::Displaces displaces) const {
+    const bool may_displace = displaces != JobPriorities::Displaces::kNothing;
     Chances c;
     for (const Place& p : places) {
       const MachineRoom& m = *p.machine;
@@ -60,7 +68,7 @@
       }
       if (may_displace && (!c.displaces || (has && !c.displaces_has))) {
         Resources r = p.free;
-        r += p.lower;
+        r += p.yielding(displaces);
         if (r.fits(spec.need)) {
           c.displaces = true;
           c.displaces_has = c.displaces_has || has;
@@ -83,13 +91,13 @@
     }
   }
 
-  void displace(const protocol::JobSpec& spec) {
+  void displace(const protocol::JobSpec& spec, JobPriorities::Displaces displaces) {
     for (Place& p : places) {
       const MachineRoom& m = *p.machine;
       Resources r = p.free;
-      r += p.lower;
+      r += p.yielding(displaces);
       if (!r.fits(spec.need) || !may_run(spec, m.type, m.zone, m.spot)) continue;
-      p.lower -= spec.need;
+      p.yielding(displaces) -= spec.need;
       return;
     }
   }
@@ -160,9 +168,12 @@
 
   // Most machines of a full fleet have room for nothing that waits: they are passed over in one go,
   // not job by job.
-  const auto may_displace = [this, now](const Job& job) {
-    return (JobPriorities::is_urgent(job) || priorities_.is_guaranteed(job)) &&
-           !is_suspect(job.record.spec.id, now);
+  const auto displaces = [this, now](const Job& job) {
+    return is_suspect(job.record.spec.id, now) ? JobPriorities::Displaces::kNothing
+                                               : priorities_.displaces(job);
+  };
+  const auto may_displace = [&displaces](const Job& job) {
+    return displaces(job) != JobPriorities::Displaces::kNothing;
   };
   std::optional<Resources> least, least_displacing;
   const auto lower_to = [](std::optional<Resources>& to, const Resources& need) {
@@ -183,7 +194,7 @@
       Resources with_lower = m->free;
       with_lower += m->lower;
       if (m->free.fits(*least) || (least_displacing && with_lower.fits(*least_displacing))) {
-        part.places.push_back({m, m->free, m->lower});
+        part.places.push_back({m, m->free, m->lower, m->idle_rank});
       }
     }
     all.push_back(std::move(part));
@@ -195,7 +206,7 @@
     std::size_t room = 0;
     const auto look_again = [&](std::size_t p) {
       room -= chances[p].room;
-      chances[p] = all[p].chances(spec, settings_.controller_zones, may_displace(*job));
+      chances[p] = all[p].chances(spec, settings_.controller_zones, displaces(*job));
       room += chances[p].room;
     };
     for (std::size_t p = 0; p < all.size(); ++p) {
@@ -268,11 +279,11 @@
         int best_rank = 0;
         for (std::size_t p = 0; p < all.size(); ++p) {
           const Chances& c = chances[p];
-          const bool displaces = hurries && c.displaces_has;
-          if (c.room == 0 && !displaces) continue;
+          const bool takes_place = hurries && c.displaces_has;
+          if (c.room == 0 && !takes_place) continue;
           // A part where the image is already beats a roomier one where it must be fetched, and
           // so does one with room where controllers are.
-          const int rank = c.has_near ? 4 : c.has ? 3 : displaces ? 2 : c.near ? 1 : 0;
+          const int rank = c.has_near ? 4 : c.has ? 3 : takes_place ? 2 : c.near ? 1 : 0;
           if (best == all.size() || rank > best_rank ||
               (rank == best_rank && all[p].free_cores > all[best].free_cores)) {
             best = p;
@@ -287,7 +298,7 @@
         if (chances[best].room > 0) {
           all[best].take(spec, n);
         } else {
-          all[best].displace(spec);
+          all[best].displace(spec, displaces(*job));
         }
         look_again(best);
         next += n;
@@ -309,7 +320,7 @@
         if (i == all.size()) break;
         const std::size_t p = (from + i) % all.size();
         offer(p, next, 1);
-        all[p].displace(spec);
+        all[p].displace(spec, displaces(*job));
         look_again(p);
         ++next;
       }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -628,7 +628,8 @@
         name(n) + "-" + std::to_string(c.self().life.get()) + "-" + std::to_string(++node.hires);
     if (hires_.contains(hire)) broken("a rental's name is used twice: " + hire);
     auto& got = hires_[hire];
-    for (int i = 0; i < r.count && capacity_[r.kind.type] > 0; ++i) {
+    const bool offered = !r.kind.spot || spot_offered_;
+    for (int i = 0; offered && i < r.count && capacity_[r.kind.type] > 0; ++i) {
       --capacity_[r.kind.type];
       const std::string id = "i-" + std::to_string(next_machine_++);
       add_worker(id, r.kind.type, r.kind.zone, r.kind.spot, t_ + 5);
@@ -957,8 +958,12 @@
     job.spec.kind = kind == "service" ? protocol::Kind::kService
                     : kind == "gang"  ? protocol::Kind::kGang
                                       : protocol::Kind::kArray;
-    job.spec.rank =
-        options["rank"] == "critical" ? protocol::Rank::kCritical : protocol::Rank::kStandard;
+    const std::map<std::string, protocol::Rank> ranks = {{"critical", protocol::Rank::kCritical},
+                                                         {"urgent", protocol::Rank::kUrgent},
+                                                         {"", protocol::Rank::kStandard},
+                                                         {"standard", protocol::Rank::kStandard},
+                                                         {"idle", protocol::Rank::kIdle}};
+    job.spec.rank = ranks.at(options["rank"]);
     job.spec.tasks = static_cast<TaskNo>(option("tasks", 1));
     job.spec.need.v = {option("cores", 1), 0, option("memory", 1)};
     job.spec.image = "img";
@@ -1010,6 +1015,8 @@
     if (!state_down_) {
       for (auto& [id, l] : leases_) l.until = t_ + l.ttl;
     }
+  } else if (word == "spot") {
+    spot_offered_ = arg() == "on";
   } else if (word == "silent_cuts") {
     silent_cuts_ = arg() == "on";
   } else if (word == "cloud") {
