A round's plan in steps; its transaction is built by a class of its own

RecordBatch collects the changes of records within the store's limits; what waits, where it may start, which machines come first and what is recorded late are functions of their own.

--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -89,6 +89,11 @@
   const std::map<JobId, Job>& jobs() const { return jobs_; }
   const Job* job(const JobId& id) const;
   std::optional<JobStatus> final_state(const JobId& id) const;
+  // Has the watch brought all that came before the job's record as it is known here? A cancellation
+  // read ahead of it may be known while a start before it is not.
+  bool is_settled(const Job& job) const {
+    return !job.record.cancelled || revision_.get() >= job.version.get();
+  }
   void remember_final(const JobId& id, JobStatus status);
 
   const std::map<TaskId, Held>& held_by(const MachineId& machine) const;
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -15,6 +15,8 @@
 #include "coordination/failure_tracker.h"
 #include "coordination/fleet.h"
 #include "coordination/job_priorities.h"
+#include "coordination/packing.h"
+#include "coordination/record_batch.h"
 #include "coordination/view.h"
 
 namespace saddleslip::coordination {
@@ -195,7 +197,6 @@
   // As the view says. Asked for every machine in every round, and the same until the view changes.
   const Life* owner(const MachineId& machine) const;
   bool owns(const MachineId& machine) const;
-  bool settled(const Job& job) const;
   // Does it report, and hear what it is answered?
   bool fresh(const Machine& m, Time now) const;
   bool heard_lately(const Machine& m, Time now) const;
@@ -225,6 +226,37 @@
                                                 const protocol::Held& held);
   // Has the machine reported the end of this attempt? Its room is free then, on record or not.
   static bool reported_over(const Machine& m, const TaskId& task, const protocol::Held& held);
+  // A job that was offered to this part, and which of its tasks wait here.
+  struct WaitingJob {
+    const Job* job;
+    std::vector<TaskNo> tasks;
+    std::map<std::string, TaskNo> zones;  // where its tasks are, for one_zone and spread
+    bool zones_known = true;
+  };
+  // The machines that take new tasks, with their bins for packing.
+  struct OpenMachines {
+    std::vector<Bin> bins;
+    std::vector<Machine*> machines;
+    Resources scale;
+  };
+  // The steps of a round's plan.
+  static void record_end(RoundPlan::End end, RecordBatch& batch, RoundPlan& plan);
+  // Records what must be on record now; returns the ends that can wait.
+  std::vector<RoundPlan::End> record_ends(std::vector<RoundPlan::End> ends, Pace pace, Time now,
+                                          RecordBatch& batch, RoundPlan& plan);
+  void record_late_ends(std::vector<RoundPlan::End> ends, Pace pace, Time now, RecordBatch& batch,
+                        RoundPlan& plan);
+  std::vector<WaitingJob> waiting_jobs(Pace pace, Time now, const RecordBatch& batch);
+  void find_zones(WaitingJob& w) const;
+  OpenMachines open_machines(Time now);
+  std::vector<int> order_by_due(const std::vector<WaitingJob>& waiting,
+                                const std::vector<Bin>& bins, Time now) const;
+  void place(std::vector<WaitingJob>& waiting, Time now, RoundPlan& plan);
+  bool may_start(const WaitingJob& w, const Report& r, const Resources& planned) const;
+  int preference(const protocol::JobSpec& spec, const Machine& m,
+                 std::optional<Seconds> start_within, bool displaces, Time now) const;
+  static void record_starts(RecordBatch& batch, RoundPlan& plan);
+  void make_room(const std::vector<WaitingJob>& waiting, const RoundPlan& plan, Time now);
   void collect_ends(Time now, std::vector<RoundPlan::End>& ends);
   bool can_wait(const RoundPlan::End& end, const std::set<TaskId>& ended, Time now);
   // Decides which jobs with failures are sound, and closes the machines that turn out to be faulty.
--- /dev/null
+++ b/src/coordination/record_batch.cpp
@@ -0,0 +1,153 @@
+#include "coordination/record_batch.h"
+
+#include "coordination/intake.h"
+
+namespace saddleslip::coordination {
+
+using base::Attempt;
+using base::JobId;
+using base::TaskId;
+using base::TaskNo;
+using base::Version;
+using bookkeeping::Job;
+using protocol::Held;
+using protocol::Transaction;
+
+namespace {
+
+constexpr std::size_t kMaxBytes = 48 * 1024;  // a transaction holds 64 KiB in all
+constexpr std::size_t kBytesOfRecord = 200;   // about; and for each task that is held:
+constexpr std::size_t kBytesOfHeld = 48;
+constexpr std::size_t kWritesOfFinish = 3;  // a job that leaves: its state, its record, its row
+
+// A job of several records whose tasks share or avoid zones: no single record shows where all of its
+// tasks are, so its starts stand in a row.
+bool starts_in_a_row(const Job& job) {
+  const auto& spec = job.record.spec;
+  return (spec.one_zone || spec.spread) && job.chunks.size() > 1;
+}
+
+}  // namespace
+
+const RecordBatch::Edit* RecordBatch::find(const Job& job, TaskNo no) const {
+  const auto at = edits_.find({job.record.spec.id, job.record.chunk_of(no)});
+  return at == edits_.end() ? nullptr : &at->second;
+}
+
+bool RecordBatch::is_held(const Job& job, TaskNo no) const {
+  const Edit* e = find(job, no);
+  return e ? e->record.held.contains(no) : job.holder(no) != nullptr;
+}
+
+bool RecordBatch::is_done(const Job& job, TaskNo no) const {
+  const Edit* e = find(job, no);
+  return e ? e->record.done[no % job.record.chunk] : job.is_done(no);
+}
+
+bool RecordBatch::writes_record_of(const Job& job, TaskNo no) const {
+  return find(job, no) != nullptr;
+}
+
+RecordBatch::Edit* RecordBatch::edit(const Job& job, TaskNo no) {
+  const std::uint32_t chunk = job.record.chunk_of(no);
+  const ChunkId id{job.record.spec.id, chunk};
+  if (const auto at = edits_.find(id); at != edits_.end()) return &at->second;
+  const bool full = writes() + 1 > settings_.txn_ops;
+  if (!full) bytes_ += kBytesOfRecord + job.chunks[chunk].record.held.size() * kBytesOfHeld;
+  if (full || (bytes_ > kMaxBytes && !edits_.empty())) {
+    turned_away_ = true;
+    return nullptr;
+  }
+  return &edits_.emplace(id, Edit{&job, job.chunks[chunk].record, false}).first->second;
+}
+
+bool RecordBatch::add_end(const TaskId& task, bool done) {
+  const Job* job = ledger_.job(task.job);
+  Edit* e = job ? edit(*job, task.no) : nullptr;
+  if (!e) return false;
+  e->record.held.erase(task.no);
+  if (done) e->record.done[task.no % job->record.chunk] = true;
+  return true;
+}
+
+std::optional<Attempt> RecordBatch::add_start(const TaskId& task, Held held) {
+  const Job* job = ledger_.job(task.job);
+  if (!job) return {};
+  const auto& spec = job->record.spec;
+  const bool limited = ledger_.limited(spec.team);
+  const std::string team = limited ? protocol::team_key(spec.team) : "";
+  const std::string row = starts_in_a_row(*job) ? protocol::row_key(spec.id) : "";
+  std::size_t more = writes_record_of(*job, task.no) ? 0 : 1;
+  if (!team.empty() && !teams_.contains(team)) ++more;
+  if (!row.empty() && !serialized_.contains(row)) ++more;
+  if (writes() + more > settings_.txn_ops) {
+    turned_away_ = true;
+    return {};
+  }
+  Edit* e = edit(*job, task.no);
+  if (!e) return {};
+  held.attempt = e->record.next;
+  e->has_starts = true;
+  e->record.held[task.no] = held;
+  if (!team.empty()) teams_.insert(team);
+  if (!row.empty()) serialized_.insert(row);
+  return held.attempt;
+}
+
+std::set<JobId> RecordBatch::finished_jobs() const {
+  struct Counts {
+    TaskNo done = 0, held = 0;
+  };
+  std::map<JobId, Counts> after;  // with what is written here
+  for (const auto& [id, e] : edits_) {
+    auto& counts = after.try_emplace(id.job, Counts{e.job->done, e.job->held}).first->second;
+    const auto& before = e.job->chunks[id.chunk].record;
+    counts.done += e.record.done_count() - before.done_count();
+    counts.held +=
+        static_cast<TaskNo>(e.record.held.size()) - static_cast<TaskNo>(before.held.size());
+  }
+  std::size_t all_writes = writes();
+  std::set<JobId> finished;
+  for (const auto& [id, counts] : after) {
+    const Job& job = *ledger_.job(id);
+    const bool over = job.record.cancelled || counts.done >= job.record.spec.tasks;
+    if (counts.held > 0 || !over || !ledger_.is_settled(job)) continue;
+    if (all_writes + kWritesOfFinish > settings_.txn_ops) continue;
+    all_writes += kWritesOfFinish;
+    finished.insert(id);
+  }
+  return finished;
+}
+
+Transaction RecordBatch::build(const protocol::Life& self, Version view) const {
+  Transaction txn;
+  txn.guards[protocol::kViewKey] = view;
+  const std::set<JobId> finished = finished_jobs();
+  for (const JobId& id : finished) add_finish(txn, *ledger_.job(id), settings_.txn_ops);
+  for (const auto& [id, e] : edits_) {
+    if (finished.contains(id.job)) continue;
+    protocol::ChunkRecord record = e.record;
+    if (e.has_starts) {
+      record.next = Attempt(record.next.get() + 1);
+      txn.guards[protocol::job_key(id.job)] = e.job->version;
+    }
+    const std::string key = protocol::chunk_key(id.job, id.chunk);
+    txn.guards[key] = e.job->chunks[id.chunk].version;
+    txn.writes.push_back({key, to_json(record, e.job->chunk_first(id.chunk)), {}});
+  }
+  add_rows(txn, self);
+  return txn;
+}
+
+// Starts of a team with a limit stand in a row, whoever makes them: its use, as counted from the local
+// copy, misses none that came before this version.
+void RecordBatch::add_rows(Transaction& txn, const protocol::Life& self) const {
+  for (const auto& keys : {teams_, serialized_}) {
+    for (const std::string& key : keys) {
+      txn.guards[key] = ledger_.version(key);
+      txn.writes.push_back({key, to_json(self), {}});
+    }
+  }
+}
+
+}  // namespace saddleslip::coordination
--- /dev/null
+++ b/src/coordination/record_batch.h
@@ -0,0 +1,65 @@
+// Collects what one round changes in the tasks' records into a single transaction, within the limits
+// of the state service. The records are those of the local copy: each is guarded by its version.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "bookkeeping/ledger.h"
+
+namespace saddleslip::coordination {
+
+class RecordBatch {
+ public:
+  RecordBatch(const base::Settings& settings, const bookkeeping::Ledger& ledger)
+      : settings_(settings), ledger_(ledger) {}
+
+  // The state of a task with what this batch changes.
+  bool is_held(const bookkeeping::Job& job, base::TaskNo no) const;
+  bool is_done(const bookkeeping::Job& job, base::TaskNo no) const;
+  // Does the batch write the record of this task already?
+  bool writes_record_of(const bookkeeping::Job& job, base::TaskNo no) const;
+
+  // A task is over, completed or to be started again. False: the transaction has no room for it.
+  bool add_end(const base::TaskId& task, bool done);
+  // A task starts. None: the transaction has no room for it; else the attempt's number.
+  std::optional<base::Attempt> add_start(const base::TaskId& task, protocol::Held held);
+
+  // Was something turned away for want of room?
+  bool turned_away() const { return turned_away_; }
+  bool empty() const { return edits_.empty(); }
+  // The transaction: holds only under the view of that version. A job whose last end is in the batch
+  // leaves with it.
+  protocol::Transaction build(const protocol::Life& self, base::Version view) const;
+
+ private:
+  struct ChunkId {
+    base::JobId job;
+    std::uint32_t chunk = 0;
+    auto operator<=>(const ChunkId&) const = default;
+  };
+  struct Edit {
+    const bookkeeping::Job* job = nullptr;
+    protocol::ChunkRecord record;
+    bool has_starts = false;
+  };
+
+  const Edit* find(const bookkeeping::Job& job, base::TaskNo no) const;
+  Edit* edit(const bookkeeping::Job& job, base::TaskNo no);
+  std::size_t writes() const { return edits_.size() + teams_.size() + serialized_.size(); }
+  std::set<base::JobId> finished_jobs() const;
+  void add_rows(protocol::Transaction& txn, const protocol::Life& self) const;
+
+  const base::Settings& settings_;
+  const bookkeeping::Ledger& ledger_;
+  std::map<ChunkId, Edit> edits_;
+  std::set<std::string> teams_;       // keys of the rows of teams with a limit that start tasks
+  std::set<std::string> serialized_;  // ... of jobs whose starts stand in a row
+  std::size_t bytes_ = 0;
+  bool turned_away_ = false;
+};
+
+}  // namespace saddleslip::coordination
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -6,7 +6,6 @@
 #include "base/log.h"
 #include "coordination/controller.h"
 #include "coordination/intake.h"
-#include "coordination/packing.h"
 
 namespace saddleslip::coordination {
 
@@ -29,8 +28,7 @@
 constexpr Seconds kPreemptRepeat{6.0};
 constexpr Seconds kDisplaceFor{1.5};
 constexpr Seconds kRoomToMove{1.5};
-constexpr Seconds kSettled{35.0};                   // a start that is undone sooner was none
-constexpr std::size_t kMaxRecordBytes = 48 * 1024;  // a transaction holds 64 KiB in all
+constexpr Seconds kSettled{35.0};  // a start that is undone sooner was none
 
 }  // namespace
 
@@ -258,73 +256,68 @@
   housekeeping(now);
   priorities_.update_guarantees(now);
 
-  struct Edit {
-    const Job* job;
-    std::uint32_t chunk;
-    protocol::ChunkRecord record;
-    bool started = false;
-  };
-  std::map<std::pair<JobId, std::uint32_t>, Edit> edits;
-  std::set<std::string> teams, serialized;
-  std::size_t bytes = 0;
-  const auto edit = [&](const JobId& id, TaskNo no) -> Edit* {
-    const Job* job = ledger_.job(id);
-    if (!job) return nullptr;
-    const std::uint32_t c = job->record.chunk_of(no);
-    const auto found = edits.find({id, c});
-    if (found != edits.end()) return &found->second;
-    const bool full = edits.size() + teams.size() + serialized.size() + 1 > settings_.txn_ops;
-    if (!full) bytes += 200 + job->chunks[c].record.held.size() * 48;
-    if (full || (bytes > kMaxRecordBytes && !edits.empty())) {
-      plan.more = true;
-      return nullptr;
-    }
-    return &edits.emplace(std::pair(id, c), Edit{job, c, job->chunks[c].record, false})
-                .first->second;
-  };
-
+  RecordBatch batch(settings_, ledger_);
   std::vector<RoundPlan::End> ends;
   collect_ends(now, ends);
-  // After a crash there may be more ends than one record holds: the urgent work's come first.
+  std::vector<RoundPlan::End> later = record_ends(std::move(ends), pace, now, batch, plan);
+  std::vector<WaitingJob> waiting = waiting_jobs(pace, now, batch);
+  place(waiting, now, plan);
+  record_starts(batch, plan);
+  record_late_ends(std::move(later), pace, now, batch, plan);
+  make_room(waiting, plan, now);
+  plan.more = batch.turned_away();
+  if (!batch.empty()) plan.txn = batch.build(self_, followed_view_);
+  return plan;
+}
+
+void Controller::record_end(RoundPlan::End end, RecordBatch& batch, RoundPlan& plan) {
+  if (batch.add_end(end.task, end.done)) plan.ends.push_back(std::move(end));
+}
+
+std::vector<RoundPlan::End> Controller::record_ends(std::vector<RoundPlan::End> ends, Pace pace,
+                                                    Time now, RecordBatch& batch, RoundPlan& plan) {
   std::set<TaskId> ended;
   for (const RoundPlan::End& end : ends) ended.insert(end.task);
-  struct Due {
-    int tier;
-    RoundPlan::End* end;
-  };
-  std::vector<Due> now_due;
-  std::vector<RoundPlan::End*> later;
+  std::erase_if(end_seen_, [&](const auto& e) { return !ended.contains(e.first); });
+  // After a crash there may be more ends than one record holds: the urgent work's come first.
+  std::map<int, std::vector<RoundPlan::End>> due;  // by tier
+  std::vector<RoundPlan::End> later;
   for (RoundPlan::End& end : ends) {
     const Job* job = ledger_.job(end.task.job);
-    const int tier = job ? priorities_.tier(*job) : kLastTier;
-    if (can_wait(end, ended, now) ||
-        (pace == Pace::kUrgent && !(job && JobPriorities::is_urgent(*job)))) {
-      later.push_back(&end);
+    const bool urgent = job && JobPriorities::is_urgent(*job);
+    if (can_wait(end, ended, now) || (pace == Pace::kUrgent && !urgent)) {
+      later.push_back(std::move(end));
     } else {
-      now_due.push_back({tier, &end});
+      due[job ? priorities_.tier(*job) : kLastTier].push_back(std::move(end));
     }
   }
-  std::erase_if(end_seen_, [&](const auto& e) { return !ended.contains(e.first); });
-  std::stable_sort(now_due.begin(), now_due.end(),
-                   [](const Due& a, const Due& b) { return a.tier < b.tier; });
-  const auto record_end = [&](RoundPlan::End& end) {
-    Edit* e = edit(end.task.job, end.task.no);
-    if (!e) return;
-    e->record.held.erase(end.task.no);
-    if (end.done) e->record.done[end.task.no % e->job->record.chunk] = true;
-    plan.ends.push_back(std::move(end));
+  for (auto& [tier, of_tier] : due) {
+    for (RoundPlan::End& end : of_tier) record_end(std::move(end), batch, plan);
+  }
+  return later;
+}
+
+// Ends that can wait go along with what is written anyway, or while writes are plentiful: the ones
+// seen first go first.
+void Controller::record_late_ends(std::vector<RoundPlan::End> ends, Pace pace, Time now,
+                                  RecordBatch& batch, RoundPlan& plan) {
+  const auto seen = [&](const RoundPlan::End& end) {
+    const auto at = end_seen_.find(end.task);
+    return at == end_seen_.end() ? now : at->second;
   };
-  for (const Due& d : now_due) record_end(*d.end);
+  std::stable_sort(ends.begin(), ends.end(),
+                   [&](const auto& a, const auto& b) { return seen(a) < seen(b); });
+  for (RoundPlan::End& end : ends) {
+    const Job* job = ledger_.job(end.task.job);
+    if (job && (pace == Pace::kSpare || batch.writes_record_of(*job, end.task.no)))
+      record_end(std::move(end), batch, plan);
+  }
+}
 
-  // --- what waits
+std::vector<Controller::WaitingJob> Controller::waiting_jobs(Pace pace, Time now,
+                                                             const RecordBatch& batch) {
   std::erase_if(pool_, [&](const PoolEntry& p) { return p.until < now; });
-  struct Waiting {
-    const Job* job;
-    std::vector<TaskNo> tasks;
-    std::map<std::string, TaskNo> zones;  // where its tasks are, for same_place and apart
-    bool zones_known = true;
-  };
-  std::vector<Waiting> waiting;
+  std::vector<WaitingJob> waiting;
   std::map<JobId, std::size_t> index;
   for (const PoolEntry& p : pool_) {
     const Job* job = ledger_.job(p.job);
@@ -333,102 +326,90 @@
     if (!failures_.may_retry(p.job, now)) continue;
     const auto [at, is_new] = index.try_emplace(p.job, waiting.size());
     if (is_new) waiting.push_back({job, {}, {}, true});
-    Waiting& w = waiting[at->second];
+    WaitingJob& w = waiting[at->second];
     for (const auto& [first, count] : p.ranges) {
       for (TaskNo no = first; no - first < count && no < job->record.spec.tasks; ++no) {
-        const auto e = edits.find({p.job, job->record.chunk_of(no)});
-        const bool held =
-            e == edits.end() ? job->holder(no) != nullptr : e->second.record.held.contains(no);
-        const bool done =
-            e == edits.end() ? job->is_done(no) : e->second.record.done[no % job->record.chunk];
-        if (!held && !done) w.tasks.push_back(no);
+        if (!batch.is_held(*job, no) && !batch.is_done(*job, no)) w.tasks.push_back(no);
       }
     }
     std::sort(w.tasks.begin(), w.tasks.end());
     w.tasks.erase(std::unique(w.tasks.begin(), w.tasks.end()), w.tasks.end());
   }
-  std::erase_if(waiting, [](const Waiting& w) { return w.tasks.empty(); });
+  std::erase_if(waiting, [](const WaitingJob& w) { return w.tasks.empty(); });
+  for (WaitingJob& w : waiting) find_zones(w);
+  return waiting;
+}
+
+// Where the tasks of a job that shares or avoids zones are.
+void Controller::find_zones(WaitingJob& w) const {
+  const auto& spec = w.job->record.spec;
+  if (!spec.one_zone && !spec.spread) return;
+  for (const auto& chunk : w.job->chunks) {
+    for (const auto& [no, held] : chunk.record.held) {
+      const std::string zone = zone_of(held.machine);
+      if (zone.empty()) w.zones_known = false;  // somewhere, and nobody said where: wait
+      ++w.zones[zone];
+    }
+  }
+}
 
-  std::vector<Bin> bins;
-  std::vector<Machine*> at_bin;
-  Resources scale;
+Controller::OpenMachines Controller::open_machines(Time now) {
+  OpenMachines open;
   for (auto& [id, m] : machines_) {
     const auto* type = ledger_.type(m.last.type);
     if (!type) continue;
-    for (std::size_t i = 0; i < scale.v.size(); ++i) {
-      scale.v[i] = std::max(scale.v[i], type->size.v[i]);
+    for (std::size_t i = 0; i < open.scale.v.size(); ++i) {
+      open.scale.v[i] = std::max(open.scale.v[i], type->size.v[i]);
     }
     if (m.closed || !fresh(m, now)) continue;
-    bins.push_back({look(m).free});
-    at_bin.push_back(&m);
+    open.bins.push_back({look(m).free});
+    open.machines.push_back(&m);
   }
+  return open;
+}
 
-  // When more waits than there is room for, what is due first goes first, job by job; else all of a
-  // rank go by the score alone.
+// When more waits than there is room for, what is due first goes first, job by job; else all of a
+// rank go by the score alone.
+std::vector<int> Controller::order_by_due(const std::vector<WaitingJob>& waiting,
+                                          const std::vector<Bin>& bins, Time now) const {
   std::vector<int> order(waiting.size(), 0);
   Resources wanted, room;
-  for (const Waiting& w : waiting) {
+  for (const WaitingJob& w : waiting) {
     wanted += w.job->record.spec.need * static_cast<double>(w.tasks.size());
   }
   for (const Bin& b : bins) room += b.free;
-  if (!room.fits(wanted)) {
-    std::vector<std::pair<double, std::size_t>> by_due;
-    for (std::size_t i = 0; i < waiting.size(); ++i) {
-      by_due.emplace_back(priorities_.due(*waiting[i].job, now), i);
-    }
-    std::sort(by_due.begin(), by_due.end());
-    for (std::size_t i = 0; i < by_due.size(); ++i) order[by_due[i].second] = static_cast<int>(i);
-  }
-  const int jobs = static_cast<int>(waiting.size()) + 1;
+  if (room.fits(wanted)) return order;
+  std::vector<std::pair<double, std::size_t>> by_due;
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    by_due.emplace_back(priorities_.due(*waiting[i].job, now), i);
+  }
+  std::sort(by_due.begin(), by_due.end());
+  for (std::size_t i = 0; i < by_due.size(); ++i) order[by_due[i].second] = static_cast<int>(i);
+  return order;
+}
 
+void Controller::place(std::vector<WaitingJob>& waiting, Time now, RoundPlan& plan) {
+  OpenMachines open = open_machines(now);
+  const std::vector<int> order = order_by_due(waiting, open.bins, now);
+  const int jobs = static_cast<int>(waiting.size()) + 1;
   std::map<std::string, Resources> planned;  // by team, in this plan
   std::vector<Group> groups;
-  for (Waiting& w : waiting) {
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    WaitingJob& w = waiting[i];
     const auto& spec = w.job->record.spec;
-    if (spec.one_zone || spec.spread) {
-      for (std::size_t c = 0; c < w.job->chunks.size(); ++c) {
-        for (const auto& [no, held] : w.job->chunks[c].record.held) {
-          const std::string zone = zone_of(held.machine);
-          if (zone.empty()) w.zones_known = false;  // somewhere, and nobody said where: wait
-          ++w.zones[zone];
-        }
-      }
-    }
-    Group g;
-    g.need = spec.need;
     const auto first = starved(*w.job, now);
     if (first && w.tasks.size() > *first) w.tasks.resize(*first);
     // One task is enough to see whether a job that failed everywhere still does.
     if (spec.kind != Kind::kGang && is_suspect(spec.id, now)) w.tasks.resize(1);
+    Group g;
+    g.need = spec.need;
     g.count = w.tasks.size();
-    g.allowed = [&](std::size_t b) {
-      if (w.tasks.empty()) return false;
-      const Report& r = at_bin[b]->last;
-      if (spec.one_zone || spec.spread) {
-        if (!w.zones_known) return false;
-        if (spec.one_zone && !w.zones.empty() && !w.zones.contains(r.zone)) return false;
-        const auto there = w.zones.find(r.zone);
-        if (spec.spread && there != w.zones.end() && there->second >= (spec.tasks + 1) / 2) {
-          return false;
-        }
-      }
-      if (ledger_.limited(spec.team)) {
-        const base::Team& team = settings_.teams.at(spec.team);
-        Resources use = ledger_.team_use(spec.team);
-        use += planned[spec.team];
-        use += spec.need;
-        if ((team.cores_max > 0 && use.cores() > team.cores_max + 1e-6) ||
-            (team.gpus_max > 0 && use.gpus() > team.gpus_max + 1e-6)) {
-          return false;
-        }
-      }
-      // An attempt that the machine still reports would be refused there as busy.
-      return std::any_of(w.tasks.begin(), w.tasks.end(), [&](TaskNo no) {
-        return !r.tasks.contains(TaskId{spec.id, no});
-      });
+    g.tier = (first ? -1 : priorities_.tier(*w.job)) * jobs + order[i];
+    g.allowed = [&, this](std::size_t b) {
+      return may_start(w, open.machines[b]->last, planned[spec.team]);
     };
     g.placed = [&](std::size_t b) {
-      const Report& r = at_bin[b]->last;
+      const Report& r = open.machines[b]->last;
       const auto no = std::find_if(w.tasks.begin(), w.tasks.end(), [&](TaskNo n) {
         return !r.tasks.contains(TaskId{spec.id, n});
       });
@@ -437,79 +418,77 @@
       ++w.zones[r.zone];
       planned[spec.team] += spec.need;
     };
-    // Which machines with room come first. An image that has to be fetched can take longer than
-    // all else. And where some zones have no controller, a cut between zones takes all that runs
-    // there: services go where controllers are, and other work leaves them the room.
     const auto within = priorities_.start_within(spec);
     const bool displaces = displaces_for_image(*w.job, now);
-    g.pass = [&, within, displaces](std::size_t b) {
-      const Machine& m = *at_bin[b];
-      if (!may_run(spec, m.last.type, m.last.zone, m.last.spot)) return -1;
-      const auto kept = gathered_.find(m.last.machine);
-      if (kept != gathered_.end() && kept->second.job != spec.id) return -1;
-      if (failures_.avoids(spec.id, m.last.machine, now)) return -1;
-      const bool quick = !within || fetch_time(m, spec) < *within * 0.75;
-      const int image = m.has_image(spec.image)          ? 0
-                        : m.pulling.contains(spec.image) ? 2
-                        : quick                          ? 4
-                                                         : kSlowFetch;
-      if (displaces && image == kSlowFetch) return -1;
-      const bool reachable = settings_.controller_zones.contains(m.last.zone);
-      return image + (reachable == (spec.kind == Kind::kService) ? 0 : 1);
+    g.pass = [&, this, within, displaces](std::size_t b) {
+      return preference(spec, *open.machines[b], within, displaces, now);
     };
-    g.tier = (first ? -1 : priorities_.tier(*w.job)) * jobs +
-             order[static_cast<std::size_t>(&w - &waiting[0])];
     groups.push_back(std::move(g));
   }
-  pack(groups, bins, scale);
+  pack(groups, open.bins, open.scale);
+}
 
+// May one more task of the job start on this machine, with what was planned for its team before?
+bool Controller::may_start(const WaitingJob& w, const Report& r, const Resources& planned) const {
+  const auto& spec = w.job->record.spec;
+  if (w.tasks.empty()) return false;
+  if (spec.one_zone || spec.spread) {
+    if (!w.zones_known) return false;
+    if (spec.one_zone && !w.zones.empty() && !w.zones.contains(r.zone)) return false;
+    const auto there = w.zones.find(r.zone);
+    if (spec.spread && there != w.zones.end() && there->second >= (spec.tasks + 1) / 2) {
+      return false;
+    }
+  }
+  if (ledger_.limited(spec.team)) {
+    const base::Team& team = settings_.teams.at(spec.team);
+    Resources use = ledger_.team_use(spec.team);
+    use += planned;
+    use += spec.need;
+    if ((team.cores_max > 0 && use.cores() > team.cores_max + 1e-6) ||
+        (team.gpus_max > 0 && use.gpus() > team.gpus_max + 1e-6)) {
+      return false;
+    }
+  }
+  // An attempt that the machine still reports would be refused there as busy.
+  return std::any_of(w.tasks.begin(), w.tasks.end(), [&](TaskNo no) {
+    return !r.tasks.contains(TaskId{spec.id, no});
+  });
+}
+
+// Which machines with room come first: lower values do, negative ones never. An image that has to be
+// fetched can take longer than all else. And where some zones have no controller, a cut between zones
+// takes all that runs there: services go where controllers are, and other work leaves them the room.
+int Controller::preference(const protocol::JobSpec& spec, const Machine& m,
+                           std::optional<Seconds> start_within, bool displaces, Time now) const {
+  if (!may_run(spec, m.last.type, m.last.zone, m.last.spot)) return -1;
+  const auto kept = gathered_.find(m.last.machine);
+  if (kept != gathered_.end() && kept->second.job != spec.id) return -1;
+  if (failures_.avoids(spec.id, m.last.machine, now)) return -1;
+  const bool quick = !start_within || fetch_time(m, spec) < *start_within * 0.75;
+  const int image = m.has_image(spec.image)          ? 0
+                    : m.pulling.contains(spec.image) ? 2
+                    : quick                          ? 4
+                                                     : kSlowFetch;
+  if (displaces && image == kSlowFetch) return -1;
+  const bool reachable = settings_.controller_zones.contains(m.last.zone);
+  return image + (reachable == (spec.kind == Kind::kService) ? 0 : 1);
+}
+
+void Controller::record_starts(RecordBatch& batch, RoundPlan& plan) {
   std::vector<RoundPlan::Start> kept;
   for (RoundPlan::Start& s : plan.starts) {
-    const auto& spec = ledger_.job(s.task.job)->record.spec;
-    const std::string team = ledger_.limited(spec.team) ? protocol::team_key(spec.team) : "";
-    const Job& job = *ledger_.job(s.task.job);
-    const bool one_by_one = (spec.one_zone || spec.spread) && job.chunks.size() > 1;
-    std::size_t extra = !team.empty() && !teams.contains(team) ? 1 : 0;
-    if (one_by_one && !serialized.contains(spec.id.get())) ++extra;
-    const bool has_edit = edits.contains({spec.id, job.record.chunk_of(s.task.no)});
-    if (edits.size() + teams.size() + serialized.size() + extra + (has_edit ? 0 : 1) >
-        settings_.txn_ops) {
-      plan.more = true;
-      continue;
-    }
-    Edit* e = edit(spec.id, s.task.no);
-    if (!e) continue;
-    s.held.attempt = e->record.next;
-    e->started = true;
-    e->record.held[s.task.no] = s.held;
-    if (!team.empty()) teams.insert(team);
-    if (one_by_one) serialized.insert(spec.id.get());
+    const auto attempt = batch.add_start(s.task, s.held);
+    if (!attempt) continue;
+    s.held.attempt = *attempt;
     kept.push_back(std::move(s));
   }
   plan.starts = std::move(kept);
+}
 
-  // Ends that can wait go along with what is written anyway, or while writes are plentiful: the ones
-  // seen first go first.
-  std::vector<std::pair<Time, RoundPlan::End*>> by_age;
-  for (RoundPlan::End* end : later) {
-    const auto seen = end_seen_.find(end->task);
-    by_age.emplace_back(seen == end_seen_.end() ? now : seen->second, end);
-  }
-  std::stable_sort(by_age.begin(), by_age.end(),
-                   [](const auto& a, const auto& b) { return a.first < b.first; });
-  for (const auto& [seen, end] : by_age) {
-    const Job* job = ledger_.job(end->task.job);
-    if (!job) continue;
-    if (pace == Pace::kSpare || edits.contains({end->task.job, job->record.chunk_of(end->task.no)}))
-      record_end(*end);
-  }
-
-  std::vector<std::pair<const Job*, std::size_t>> left;
-  for (const Waiting& w : waiting) {
-    // Nothing gives way to a job that fails everywhere.
-    if (!w.tasks.empty() && !is_suspect(w.job->record.spec.id, now))
-      left.emplace_back(w.job, w.tasks.size());
-  }
+// For what found no room: machines are kept free, or lower work is stopped.
+void Controller::make_room(const std::vector<WaitingJob>& waiting, const RoundPlan& plan,
+                           Time now) {
   for (const RoundPlan::Start& s : plan.starts) {
     const auto g = gathered_.find(s.held.machine);
     if (g != gathered_.end() && g->second.job == s.task.job) gathered_.erase(g);
@@ -518,57 +497,16 @@
     const Job* job = ledger_.job(g.second.job);
     return g.second.until < now || !job || job->pending() == 0;
   });
+  std::vector<std::pair<const Job*, std::size_t>> left;
+  for (const WaitingJob& w : waiting) {
+    // Nothing gives way to a job that fails everywhere.
+    if (!w.tasks.empty() && !is_suspect(w.job->record.spec.id, now))
+      left.emplace_back(w.job, w.tasks.size());
+  }
   for (const auto& [job, count] : left) {
     if (starved(*job, now)) gather_room(*job, now);
   }
   preempt(left, now);
-
-  if (edits.empty()) return plan;
-  plan.txn.guards[protocol::kViewKey] = followed_view_;
-  // A job whose last end this is leaves in the same transaction.
-  std::size_t writes = edits.size() + teams.size() + serialized.size();
-  std::map<JobId, std::pair<TaskNo, TaskNo>> after;  // done and held, with what is written here
-  std::set<JobId> leaving;
-  for (const auto& [key, e] : edits) {
-    auto [at, is_new] = after.try_emplace(key.first, e.job->done, e.job->held);
-    const auto& before = e.job->chunks[e.chunk].record;
-    at->second.first += e.record.done_count() - before.done_count();
-    at->second.second +=
-        static_cast<TaskNo>(e.record.held.size()) - static_cast<TaskNo>(before.held.size());
-  }
-  for (const auto& [id, counts] : after) {
-    const Job& job = *ledger_.job(id);
-    const auto& [done, held] = counts;
-    if (held > 0 || (!job.record.cancelled && done < job.record.spec.tasks)) continue;
-    if (!settled(job)) continue;
-    const std::size_t more = 3;
-    if (writes + more > settings_.txn_ops) continue;
-    writes += more;
-    leaving.insert(id);
-    add_finish(plan.txn, job, settings_.txn_ops);
-  }
-  for (auto& [key, e] : edits) {
-    if (leaving.contains(key.first)) continue;
-    if (e.started) {
-      e.record.next = base::Attempt(e.record.next.get() + 1);
-      plan.txn.guards[protocol::job_key(key.first)] = e.job->version;
-    }
-    const std::string name = protocol::chunk_key(key.first, e.chunk);
-    plan.txn.guards[name] = e.job->chunks[e.chunk].version;
-    plan.txn.writes.push_back({name, to_json(e.record, e.job->chunk_first(e.chunk)), {}});
-  }
-  for (const std::string& team : teams) {
-    // Starts of a team with a limit stand in a row, whoever makes them: its use, as counted here,
-    // misses none that came before this version.
-    plan.txn.guards[team] = ledger_.version(team);
-    plan.txn.writes.push_back({team, to_json(self_), {}});
-  }
-  for (const std::string& id : serialized) {
-    const std::string key = protocol::row_key(JobId(id));
-    plan.txn.guards[key] = ledger_.version(key);
-    plan.txn.writes.push_back({key, to_json(self_), {}});
-  }
-  return plan;
 }
 
 void Controller::preempt(const std::vector<std::pair<const Job*, std::size_t>>& waiting, Time now) {
@@ -866,18 +804,12 @@
   std::erase_if(absent_, [&](const auto& a) { return !ledger_.job(a.first.job); });
 }
 
-// Has the watch brought all that came before the job's record as it is known here? A cancellation read
-// ahead of it may be known while a start before it is not.
-bool Controller::settled(const Job& job) const {
-  return !job.record.cancelled || ledger_.revision().get() >= job.version.get();
-}
-
 std::optional<Transaction> Controller::finish_one() {
   if (!alive_ || !ledger_.view()) return {};
   for (const auto& [id, job] : ledger_.jobs()) {
     if (!job.record.cancelled && job.done < job.record.spec.tasks) continue;
     const Life* home = home_of(*ledger_.view(), id);
-    if (!home || *home != self_ || !settled(job)) continue;
+    if (!home || *home != self_ || !ledger_.is_settled(job)) continue;
     if (auto txn = finish(job, settings_.txn_ops)) return txn;
   }
   return {};
