--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -86,6 +86,9 @@
   bool again = false;            // the status builds upon one that this node doesn't have: tell all
 };
 
+// The machines of one member as seen by routing.
+struct Part;
+
 class Controller {
  public:
   explicit Controller(const base::Settings& settings);
@@ -271,7 +274,58 @@
   void housekeeping(Time now);
   void count_arrivals(Time now);
   std::map<JobId, std::size_t> timely_share(Time now, double boot) const;
+  // The steps of routing.
+  struct Routing;
+  bool is_offered(const TaskId& task, Time now) const;
+  void tidy_offers(Time now);
+  std::vector<const Job*> jobs_to_route(Time now) const;
+  void sort_by_turn(std::vector<const Job*>& jobs, Time now) const;
+  JobPriorities::Displaces displaces(const Job& job, Time now) const;
+  std::vector<Part> routing_parts(const std::vector<const Job*>& jobs, Time now);
+  void look_at_part(Routing& r, std::size_t part) const;
+  std::vector<TaskNo> tasks_to_offer(const Job& job, std::size_t most, Time now) const;
+  void offer(Routing& r, std::size_t part, std::size_t n);
+  void offer_array(Routing& r);
+  std::optional<std::size_t> best_part(const Routing& r) const;
+  void offer_to_roomiest(Routing& r);
+  void offer_to_displace(Routing& r);
+  void route_job(Routing& r, const Job& job);
+  // The steps of the fleet's plan.
+  std::vector<MachineId> releases_due(const Parts& known, Time now) const;
+  FleetInput fleet_input(const Parts& known, Time now) const;
+  void drop_booted(FleetInput& in, double wall_now, std::vector<MachineId>& release);
+  double boot_time(const std::string& type_name) const;
+  double soonest_boot() const;
+  std::size_t within_limit(const protocol::JobSpec& spec, std::size_t waiting,
+                           std::map<std::string, Resources>& team_room) const;
+  void add_waiting(FleetInput& in, Time now);
+  void add_expected_services(FleetInput& in, Time now) const;
+  void add_movable_services(FleetInput& in) const;
+  void pass_on(const FleetPlan& plan, const Parts& known, Time now);
+  // A waiting job that may displace other work, and what was done for it and before it.
+  struct Preemption {
+    const Job* job;
+    JobPriorities::Displaces displaces;
+    double over_limit;                       // cores that its team must give up first
+    std::map<std::string, double> stopping;  // cores of each team that were told to stop
+    std::map<MachineId, Resources> taken;    // room that was made for the job
+  };
+  struct Victim {
+    TaskId task;
+    Resources need;
+    Seconds lost;
+  };
+  struct Sacrifice {
+    std::vector<TaskId> tasks;
+    double lost = 0;  // core seconds
+  };
   void preempt(const std::vector<std::pair<const Job*, std::size_t>>& waiting, Time now);
+  std::map<std::string, double> stopping_cores() const;
+  double over_team_limit(const protocol::JobSpec& spec) const;
+  bool may_stop(const Preemption& p, const Job& other) const;
+  std::vector<Victim> candidates(const Preemption& p, const Machine& m, Time now) const;
+  std::optional<Sacrifice> sacrifice_on(const Preemption& p, const Machine& m, Time now) const;
+  bool preempt_for_one(Preemption& p, Time now);
   // Has it waited so long that it goes before others? Then so many of its tasks do.
   std::optional<std::size_t> starved(const Job& job, Time now) const;
   void gather_room(const Job& job, Time now);
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -40,199 +40,267 @@
          std::find(spec.types->begin(), spec.types->end(), type) != spec.types->end();
 }
 
-FleetPlan plan_fleet(const FleetInput& in) {
-  FleetPlan plan;
-  if (!in.catalogue || in.catalogue->empty()) return plan;
-  const auto type_of = [&](const std::string& name) -> const MachineType* {
-    for (const MachineType& t : *in.catalogue) {
-      if (t.name == name) return &t;
-    }
-    return nullptr;
-  };
+namespace {
+
+// The steps of one plan. What waits is packed into the room that there is, then into machines that
+// are to be rented; what is left over shows which machines can go.
+class FleetPlanner {
+ public:
+  explicit FleetPlanner(const FleetInput& in) : in_(in) {}
+
+  FleetPlan run() {
+    if (!in_.catalogue || in_.catalogue->empty()) return {};
+    add_sites();
+    count_silent();
+    pack_demand();
+    rent();
+    if (in_.calm && plan_.rent.empty()) drain();
+    close_idle();
+    return std::move(plan_);
+  }
 
+ private:
+  // A machine that there is, that boots, or that is to be rented. Its bin has the same index.
   struct Site {
     MachineKind kind;
     const MachineRoom* machine = nullptr;
     bool used = false;
   };
-  std::vector<Site> sites;
-  std::vector<Bin> bins;
-  Resources scale;
-  const auto grow = [&scale](const Resources& size) {
-    for (std::size_t i = 0; i < scale.v.size(); ++i) scale.v[i] = std::max(scale.v[i], size.v[i]);
+  struct Choice {
+    const MachineType* type;
+    MachineKind kind;
+    double cost;
+  };
+  struct ZoneHealth {
+    int silent = 0, all = 0;
   };
-  for (const MachineType& t : *in.catalogue) grow(t.size);
-  for (const MachineRoom* m : in.machines) {
+
+  const MachineType* type_of(const std::string& name) const {
+    for (const MachineType& t : *in_.catalogue) {
+      if (t.name == name) return &t;
+    }
+    return nullptr;
+  }
+
+  void add_sites();
+  void count_silent();
+  // A zone most of whose machines are silent is cut off: new ones there could not be used either.
+  bool cut_off(const std::string& zone) const;
+  void pack_demand();
+  std::optional<double> cost_of(std::size_t group, const MachineType& type,
+                                const MachineKind& kind) const;
+  std::optional<Choice> cheapest(std::size_t group) const;
+  void rent();
+  void add_rental(const Choice& choice);
+  void drain();
+  bool empties(std::size_t site, const std::set<std::size_t>& leaving,
+               std::vector<std::size_t>& to);
+  void close_idle();
+
+  const FleetInput& in_;
+  FleetPlan plan_;
+  std::vector<Site> sites_;
+  std::vector<Bin> bins_;
+  std::vector<Group> groups_;  // one for each demand
+  std::vector<std::size_t> by_tier_;
+  Resources scale_;
+  std::map<std::string, ZoneHealth> health_;
+  std::map<std::string, double> in_zone_;  // machines, those to be rented too
+};
+
+void FleetPlanner::add_sites() {
+  for (const MachineType& t : *in_.catalogue) {
+    for (std::size_t i = 0; i < scale_.v.size(); ++i) {
+      scale_.v[i] = std::max(scale_.v[i], t.size.v[i]);
+    }
+  }
+  for (const MachineRoom* m : in_.machines) {
     if (!m->open && !m->soon) continue;
-    sites.push_back({{m->type, m->zone, m->spot}, m, false});
-    bins.push_back({m->free});
+    sites_.push_back({{m->type, m->zone, m->spot}, m, false});
+    bins_.push_back({m->free});
   }
-  for (const auto& b : in.booting) {
+  for (const auto& b : in_.booting) {
     const MachineType* t = type_of(b.type);
     if (!t) continue;
-    sites.push_back({{b.type, b.zone, b.spot}, nullptr, false});
-    bins.push_back({t->size});
+    sites_.push_back({{b.type, b.zone, b.spot}, nullptr, false});
+    bins_.push_back({t->size});
   }
+  for (const Site& s : sites_) ++in_zone_[s.kind.zone];
+}
 
-  // A zone most of whose machines are silent is cut off: new ones there could not be used either.
-  std::map<std::string, std::pair<int, int>> silent;
-  for (const MachineRoom* m : in.machines) {
-    auto& zone = silent[m->zone];
-    ++zone.second;
-    if (m->silent) ++zone.first;
-  }
-  const auto cut_off = [&silent](const std::string& zone) {
-    const auto z = silent.find(zone);
-    return z != silent.end() && z->second.first >= 2 && z->second.first * 2 > z->second.second;
-  };
+void FleetPlanner::count_silent() {
+  for (const MachineRoom* m : in_.machines) {
+    ZoneHealth& zone = health_[m->zone];
+    ++zone.all;
+    if (m->silent) ++zone.silent;
+  }
+}
 
-  std::vector<Group> groups;
-  for (const Demand& d : in.demand) {
+bool FleetPlanner::cut_off(const std::string& zone) const {
+  const auto z = health_.find(zone);
+  return z != health_.end() && z->second.silent >= 2 && z->second.silent * 2 > z->second.all;
+}
+
+void FleetPlanner::pack_demand() {
+  groups_.reserve(in_.demand.size());
+  for (const Demand& d : in_.demand) {
     Group g;
     g.need = d.need;
     g.count = d.count;
     g.tier = d.tier;
-    g.allowed = [&sites, &d](std::size_t b) {
-      return !d.spec ||
-             may_run(*d.spec, sites[b].kind.type, sites[b].kind.zone, sites[b].kind.spot);
+    g.allowed = [this, &d](std::size_t b) {
+      const MachineKind& kind = sites_[b].kind;
+      return !d.spec || may_run(*d.spec, kind.type, kind.zone, kind.spot);
     };
-    g.placed = [&sites](std::size_t b) { sites[b].used = true; };
-    groups.push_back(std::move(g));
-  }
-  pack(groups, bins, scale);
-
-  // What found no room: the cheapest kind for the first group, then whatever else fits into it.
-  std::vector<std::size_t> by_tier(groups.size());
-  for (std::size_t g = 0; g < groups.size(); ++g) by_tier[g] = g;
-  std::stable_sort(by_tier.begin(), by_tier.end(),
-                   [&](std::size_t x, std::size_t y) { return groups[x].tier < groups[y].tier; });
-  std::map<std::string, double> in_zone;
-  for (const Site& s : sites) ++in_zone[s.kind.zone];
-  double all = static_cast<double>(sites.size()) + 1;
-  const auto cheapest =
-      [&](std::size_t g) -> std::optional<std::pair<const MachineType*, MachineKind>> {
-    const Demand& d = in.demand[g];
-    const MachineType* best = nullptr;
-    MachineKind kind;
-    double least = 0;
-    for (const MachineType& t : *in.catalogue) {
-      for (const std::string& zone : t.zones) {
-        for (const bool spot : {true, false}) {
-          if (d.spec ? !may_run(*d.spec, t.name, zone, spot) : spot) continue;
-          if (spot && in.spot_share <= 0) continue;
-          if (d.spot_only && !spot) continue;
-          if (cut_off(zone) && !(d.spec && d.spec->zone)) continue;
-          const MachineKind k{t.name, zone, spot};
-          const auto refused = in.refused.find(k);
-          if (refused != in.refused.end() && in.now < refused->second) continue;
-          double cost = cost_per_task(t, spot, d, groups[g].count);
-          if (cost < 0) continue;
-          // Equal prices: spread over the zones, so that no one fault takes all.
-          cost *= 1.0 + kSpread * in_zone[zone] / all;
-          // Services go where controllers are, and other work keeps out of the way.
-          const bool service = !d.spec || d.spec->kind == protocol::Kind::kService;
-          if (service != in.controller_zones.contains(zone))
-            cost *= service ? kFarFromControllers : spot ? kInTheWay : kInServicesWay;
-          if (!best || cost < least) {
-            best = &t;
-            kind = k;
-            least = cost;
-          }
-        }
+    g.placed = [this](std::size_t b) { sites_[b].used = true; };
+    groups_.push_back(std::move(g));
+  }
+  pack(groups_, bins_, scale_);
+  by_tier_.resize(groups_.size());
+  for (std::size_t g = 0; g < groups_.size(); ++g) by_tier_[g] = g;
+  std::stable_sort(by_tier_.begin(), by_tier_.end(), [this](std::size_t x, std::size_t y) {
+    return groups_[x].tier < groups_[y].tier;
+  });
+}
+
+// What a machine of this kind costs for each task of the group; none if it can't be had or used.
+std::optional<double> FleetPlanner::cost_of(std::size_t group, const MachineType& type,
+                                            const MachineKind& kind) const {
+  const Demand& d = in_.demand[group];
+  if (d.spec ? !may_run(*d.spec, kind.type, kind.zone, kind.spot) : kind.spot) return {};
+  if (kind.spot && in_.spot_share <= 0) return {};
+  if (d.spot_only && !kind.spot) return {};
+  if (cut_off(kind.zone) && !(d.spec && d.spec->zone)) return {};
+  const auto refused = in_.refused.find(kind);
+  if (refused != in_.refused.end() && in_.now < refused->second) return {};
+  double cost = cost_per_task(type, kind.spot, d, groups_[group].count);
+  if (cost < 0) return {};
+  // Equal prices: spread over the zones, so that no one fault takes all.
+  const auto there = in_zone_.find(kind.zone);
+  const double count = there == in_zone_.end() ? 0 : there->second;
+  cost *= 1.0 + kSpread * count / (static_cast<double>(sites_.size()) + 1);
+  // Services go where controllers are, and other work keeps out of the way.
+  const bool service = !d.spec || d.spec->kind == protocol::Kind::kService;
+  if (service != in_.controller_zones.contains(kind.zone))
+    cost *= service ? kFarFromControllers : kind.spot ? kInTheWay : kInServicesWay;
+  return cost;
+}
+
+std::optional<FleetPlanner::Choice> FleetPlanner::cheapest(std::size_t group) const {
+  std::optional<Choice> best;
+  for (const MachineType& t : *in_.catalogue) {
+    for (const std::string& zone : t.zones) {
+      for (const bool spot : {true, false}) {
+        const MachineKind kind{t.name, zone, spot};
+        const auto cost = cost_of(group, t, kind);
+        if (cost && (!best || *cost < best->cost)) best = Choice{&t, kind, *cost};
       }
     }
-    if (!best) return {};
-    return std::pair(best, kind);
-  };
+  }
+  return best;
+}
+
+// What found no room: the cheapest kind for the first group, then whatever else fits into it.
+void FleetPlanner::rent() {
   std::size_t rented = 0;
-  for (const std::size_t first : by_tier) {
-    while (groups[first].count > 0 && rented < kMostAtOnce) {
+  for (const std::size_t first : by_tier_) {
+    while (groups_[first].count > 0 && rented < kMostAtOnce) {
       const auto best = cheapest(first);
       if (!best) break;
-      const auto& [type, kind] = *best;
-      const auto same = std::find_if(plan.rent.begin(), plan.rent.end(),
-                                     [&k = kind](const Rent& r) { return r.kind == k; });
-      if (same == plan.rent.end()) {
-        plan.rent.push_back({kind, 1});
-      } else {
-        ++same->count;
-      }
+      add_rental(*best);
       ++rented;
-      ++in_zone[kind.zone];
-      ++all;
-      sites.push_back({kind, nullptr, true});
-      bins.push_back({type->size});
-      Resources& free = bins.back().free;
-      for (const std::size_t g : by_tier) {
-        Group& group = groups[g];
-        while (group.count > 0 && free.fits(group.need) && group.allowed(sites.size() - 1)) {
-          free -= group.need;
-          --group.count;
-        }
-      }
     }
   }
+}
 
-  // Machines whose services fit elsewhere, where their images are, at no one's cost: room that is
-  // left after all that waits or is expected, on machines that stay anyway.
-  if (in.calm && plan.rent.empty()) {
-    struct Candidate {
-      double gain;
-      std::size_t site;
-    };
-    std::vector<Candidate> candidates;
-    for (std::size_t b = 0; b < sites.size(); ++b) {
-      const MachineRoom* m = sites[b].machine;
-      const MachineType* type = m ? type_of(m->type) : nullptr;
-      if (!type || m->spot || m->tasks == 0 || !m->open) continue;
-      const auto movable = in.movable.find(m->id);
-      if (movable == in.movable.end() || movable->second.empty()) continue;
-      const double busy = type->size.cores() - m->free.cores();
-      if (busy > type->size.cores() * kDrainBelow) continue;
-      candidates.push_back({type->price / static_cast<double>(movable->second.size()), b});
-    }
-    std::stable_sort(candidates.begin(), candidates.end(),
-                     [](const Candidate& x, const Candidate& y) { return x.gain > y.gain; });
-    const std::size_t most = std::max<std::size_t>(1, in.machines.size() / kDrainOneOf);
-    std::set<std::size_t> leaving, filling;
-    for (const Candidate& c : candidates) {
-      if (plan.drain.size() >= most) break;
-      if (filling.contains(c.site)) continue;
-      std::vector<std::size_t> to;
-      for (const protocol::JobSpec* spec : in.movable.at(sites[c.site].machine->id)) {
-        std::size_t at = sites.size();
-        for (std::size_t o = 0; o < sites.size() && at == sites.size(); ++o) {
-          const MachineRoom* other = sites[o].machine;
-          if (o == c.site || !other || !other->open || other->tasks == 0 || leaving.contains(o) ||
-              !bins[o].free.fits(spec->need) ||
-              !may_run(*spec, other->type, other->zone, other->spot) ||
-              !other->has_image(spec->image)) {
-            continue;
-          }
-          at = o;
-        }
-        if (at == sites.size()) break;
-        bins[at].free -= spec->need;
-        to.push_back(at);
-      }
-      const auto& services = in.movable.at(sites[c.site].machine->id);
-      if (to.size() < services.size()) {
-        for (std::size_t i = 0; i < to.size(); ++i) bins[to[i]].free += services[i]->need;
-        continue;
-      }
-      leaving.insert(c.site);
-      filling.insert(to.begin(), to.end());
-      plan.drain.push_back(sites[c.site].machine->id);
+void FleetPlanner::add_rental(const Choice& choice) {
+  const auto same = std::find_if(plan_.rent.begin(), plan_.rent.end(),
+                                 [&](const Rent& r) { return r.kind == choice.kind; });
+  if (same == plan_.rent.end()) {
+    plan_.rent.push_back({choice.kind, 1});
+  } else {
+    ++same->count;
+  }
+  ++in_zone_[choice.kind.zone];
+  sites_.push_back({choice.kind, nullptr, true});
+  bins_.push_back({choice.type->size});
+  Resources& free = bins_.back().free;
+  for (const std::size_t g : by_tier_) {
+    Group& group = groups_[g];
+    while (group.count > 0 && free.fits(group.need) && group.allowed(sites_.size() - 1)) {
+      free -= group.need;
+      --group.count;
     }
   }
+}
+
+// Machines whose services fit elsewhere, where their images are, at no one's cost: room that is left
+// after all that waits or is expected, on machines that stay anyway.
+void FleetPlanner::drain() {
+  struct Candidate {
+    double gain;
+    std::size_t site;
+  };
+  std::vector<Candidate> candidates;
+  for (std::size_t b = 0; b < sites_.size(); ++b) {
+    const MachineRoom* m = sites_[b].machine;
+    const MachineType* type = m ? type_of(m->type) : nullptr;
+    if (!type || m->spot || m->tasks == 0 || !m->open) continue;
+    const auto movable = in_.movable.find(m->id);
+    if (movable == in_.movable.end() || movable->second.empty()) continue;
+    const double busy = type->size.cores() - m->free.cores();
+    if (busy > type->size.cores() * kDrainBelow) continue;
+    candidates.push_back({type->price / static_cast<double>(movable->second.size()), b});
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const Candidate& x, const Candidate& y) { return x.gain > y.gain; });
+  const std::size_t most = std::max<std::size_t>(1, in_.machines.size() / kDrainOneOf);
+  std::set<std::size_t> leaving, filling;
+  for (const Candidate& c : candidates) {
+    if (plan_.drain.size() >= most) break;
+    std::vector<std::size_t> to;
+    if (filling.contains(c.site) || !empties(c.site, leaving, to)) continue;
+    leaving.insert(c.site);
+    filling.insert(to.begin(), to.end());
+    plan_.drain.push_back(sites_[c.site].machine->id);
+  }
+}
 
-  for (const Site& s : sites) {
+// Do all services of this machine fit elsewhere? Then the room for them is taken, and `to` says where.
+bool FleetPlanner::empties(std::size_t site, const std::set<std::size_t>& leaving,
+                           std::vector<std::size_t>& to) {
+  const auto& services = in_.movable.at(sites_[site].machine->id);
+  const auto takes = [&](std::size_t o, const protocol::JobSpec& spec) {
+    const MachineRoom* other = sites_[o].machine;
+    return o != site && other && other->open && other->tasks > 0 && !leaving.contains(o) &&
+           bins_[o].free.fits(spec.need) && may_run(spec, other->type, other->zone, other->spot) &&
+           other->has_image(spec.image);
+  };
+  for (const protocol::JobSpec* spec : services) {
+    std::size_t at = 0;
+    while (at < sites_.size() && !takes(at, *spec)) ++at;
+    if (at == sites_.size()) break;
+    bins_[at].free -= spec->need;
+    to.push_back(at);
+  }
+  if (to.size() == services.size()) return true;
+  for (std::size_t i = 0; i < to.size(); ++i) bins_[to[i]].free += services[i]->need;
+  return false;
+}
+
+void FleetPlanner::close_idle() {
+  for (const Site& s : sites_) {
     if (s.machine && !s.used && s.machine->tasks == 0 &&
-        base::between(s.machine->idle_since, in.now) >= in.idle_return) {
-      plan.close.push_back(s.machine->id);
+        base::between(s.machine->idle_since, in_.now) >= in_.idle_return) {
+      plan_.close.push_back(s.machine->id);
     }
   }
-  return plan;
+}
+
+}  // namespace
+
+FleetPlan plan_fleet(const FleetInput& in) {
+  return FleetPlanner(in).run();
 }
 
 }  // namespace saddleslip::coordination
--- /dev/null
+++ b/src/coordination/fleet_control.cpp
@@ -0,0 +1,356 @@
+// The leader's part: what waits becomes demand for machines, and what the cloud says is taken in.
+#include <algorithm>
+#include <cmath>
+
+#include "base/log.h"
+#include "coordination/controller.h"
+
+namespace saddleslip::coordination {
+
+namespace {
+
+constexpr Seconds kStatusFresh{5.0};  // a sibling's room is relied on for this long
+constexpr Seconds kRefusedFor{8.0};   // a kind that was refused is left alone, doubling to 64 s
+constexpr Seconds kCalm{10.0};        // without a wait for room, before services are moved together
+constexpr Seconds kDrainGap{3.0};     // between two machines to be emptied
+constexpr Seconds kRoomRemembered{60.0};  // of a part that is out of reach, for the fleet
+constexpr Seconds kArrivalWindow{120.0};
+// A booting machine is not counted on after so long, and given up after that: times its type's usual
+// boot time, and seconds more.
+constexpr double kOverdueFactor = 2, kOverdueExtra = 10;
+constexpr double kNeverUpFactor = 4, kNeverUpExtra = 20;
+constexpr double kAdoptFactor = 3;    // a machine rented by another life is counted on until then
+constexpr double kUnknownBoot = 30;   // seconds, of a type that the catalogue lacks
+constexpr double kLeastSpan = 30;     // seconds over which arrivals are counted
+constexpr Seconds kCountStarts{2.0};  // after the lead was taken
+constexpr double kBootMargin = 1.5;   // boots take up to so many times as long
+constexpr int kExpectedTier = 100;    // after all that waits already
+
+}  // namespace
+
+void Controller::count_arrivals(Time now) {
+  for (const auto& [id, job] : ledger_.jobs()) {
+    if (job.record.spec.kind != protocol::Kind::kService || !counted_.insert(id).second) continue;
+    Arrivals& a = arrivals_[job.record.spec.job_class];
+    a.spec = job.record.spec;
+    a.recent.emplace_back(job.seen, job.record.spec.tasks);
+  }
+  std::erase_if(counted_, [&](const JobId& id) { return !ledger_.job(id); });
+  for (auto& [name, a] : arrivals_) {
+    while (!a.recent.empty() && base::between(a.recent.front().first, now) > kArrivalWindow) {
+      a.recent.pop_front();
+    }
+  }
+}
+
+// How many of each array's waiting tasks need room of their own now, so that all arrays are
+// complete when they are due. Those that may wait for others to end need no machines. In the order
+// in which the jobs are due: the work that is due by then, over the time until then, is the room
+// that all arrays together must have.
+std::map<JobId, std::size_t> Controller::timely_share(Time now, double boot) const {
+  std::vector<std::pair<double, const Job*>> jobs;
+  for (const auto& [id, job] : ledger_.jobs()) {
+    const auto& spec = job.record.spec;
+    if (spec.kind != protocol::Kind::kArray || !spec.deadline || job.cancelled() ||
+        job.done >= spec.tasks || is_suspect(id, now)) {
+      continue;
+    }
+    double by = priorities_.due(job, now);
+    // All tasks should have begun within what the objectives say, while that can still be.
+    if (const auto within = priorities_.start_within(spec)) {
+      const double last = job.record.submitted + within->count();
+      if (last > priorities_.time_of_day(now))
+        by = std::min(by, last + priorities_.run_time(spec).count());
+    }
+    jobs.emplace_back(by, &job);
+  }
+  std::stable_sort(jobs.begin(), jobs.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  double work = 0, running = 0, needed = 0;
+  for (const auto& [by, job] : jobs) {
+    const auto& spec = job->record.spec;
+    const double each = priorities_.run_time(spec).count() * 1.2,
+                 cores = std::max(0.01, spec.need.cores());
+    const double left = by - priorities_.time_of_day(now) - boot * 1.5;
+    // Whole runs, one after the other.
+    const double waves = std::clamp(std::floor(left / (each * 1.3)), 1.0, 3.0);
+    work += (job->pending() + 0.6 * job->held) * each * cores;
+    running += job->held * cores;
+    needed = std::max(needed, work / (waves * each));
+  }
+  double more = std::max(0.0, needed - running);
+  std::map<JobId, std::size_t> share;
+  for (const auto& [by, job] : jobs) {
+    const double cores = std::max(0.01, job->record.spec.need.cores());
+    const double n = std::min(static_cast<double>(job->pending()), std::ceil(more / cores));
+    share[job->record.spec.id] = static_cast<std::size_t>(n);
+    more = std::max(0.0, more - n * cores);
+  }
+  return share;
+}
+
+Controller::FleetActions Controller::plan_fleet(Time now, double wall_now) {
+  FleetActions actions;
+  if (!leads(now) || !entitled(now) || ledger_.catalogue().empty()) return actions;
+  count_arrivals(now);
+  const Parts known = parts(now, kRoomRemembered);
+  actions.release = releases_due(known, now);
+  // Renting while a part's machines are unknown would pay for them twice.
+  const Seconds settle = settings_.report_every * 2.0 + Seconds(1.0);
+  if (known.size() < ledger_.view()->members.size() ||
+      base::between(std::max(led_since_, followed_at_), now) < settle) {
+    return actions;
+  }
+  FleetInput in = fleet_input(known, now);
+  drop_booted(in, wall_now, actions.release);
+  add_waiting(in, now);
+  add_expected_services(in, now);
+  in.calm = base::between(std::max(restless_at_, led_since_), now) > kCalm &&
+            base::between(drained_at_, now) > kDrainGap;
+  if (in.calm) add_movable_services(in);
+  actions.plan = coordination::plan_fleet(in);
+  if (!actions.plan.rent.empty()) restless_at_ = now;
+  pass_on(actions.plan, known, now);
+  return actions;
+}
+
+// What owners ask for now, and what this leader itself found to be of no use.
+std::vector<MachineId> Controller::releases_due(const Parts& known, Time now) const {
+  // An owner that was silent may have come back since a machine was last asked for.
+  std::set<MachineId> release = to_release_;
+  for (const MachineId& id : asked_back()) release.insert(id);
+  // A machine that is silent for its owner and reports elsewhere is well: it is the owner that is
+  // out of its reach.
+  const auto own_knocked = knocked(now);
+  std::set<MachineId> well(own_knocked.begin(), own_knocked.end());
+  for (const auto& [member, s] : siblings_) {
+    if (base::between(s.heard, now) > kStatusFresh || !has_member(*ledger_.view(), s.from)) {
+      continue;
+    }
+    release.insert(s.give_back.begin(), s.give_back.end());
+    well.insert(s.knocked.begin(), s.knocked.end());
+  }
+  // ... unless its owner hears it too, and is not heard: then it goes from node to node.
+  for (const auto& [member, rooms] : known) {
+    for (const MachineRoom* r : rooms) {
+      if (r->unsure) well.erase(r->id);
+    }
+  }
+  std::erase_if(release,
+                [&](const MachineId& id) { return gone_.contains(id) || well.contains(id); });
+  return {release.begin(), release.end()};
+}
+
+FleetInput Controller::fleet_input(const Parts& known, Time now) const {
+  FleetInput in;
+  in.now = now;
+  in.catalogue = &ledger_.catalogue();
+  in.refused = refused_;
+  in.idle_return = settings_.tuning.idle_return;
+  in.controller_zones = settings_.controller_zones;
+  in.spot_share = settings_.tuning.spot_share;
+  for (const auto& [member, rooms] : known) {
+    in.machines.insert(in.machines.end(), rooms.begin(), rooms.end());
+  }
+  return in;
+}
+
+// Forgets the booting machines that have come up, releases those that never do, and counts the others
+// as room while they are likely to come.
+void Controller::drop_booted(FleetInput& in, double wall_now, std::vector<MachineId>& release) {
+  std::set<MachineId> heard;
+  for (const MachineRoom* m : in.machines) heard.insert(m->id);
+  std::erase_if(booting_, [&](const protocol::Booting& b) {
+    if (heard.contains(b.id) || gone_.contains(b.id)) return true;
+    const double age = wall_now - b.rented;
+    if (age < boot_time(b.type) * kNeverUpFactor + kNeverUpExtra) return false;
+    spdlog::info("machine {} never came up ({:.0f} s): released", b.id.get(), age);
+    release.push_back(b.id);
+    to_release_.insert(b.id);
+    return true;
+  });
+  for (const auto& b : booting_) {
+    if (wall_now - b.rented < boot_time(b.type) * kOverdueFactor + kOverdueExtra)
+      in.booting.push_back(b);
+  }
+}
+
+double Controller::boot_time(const std::string& type_name) const {
+  const auto* type = ledger_.type(type_name);
+  return type ? type->boot.count() : kUnknownBoot;
+}
+
+double Controller::soonest_boot() const {
+  double soonest = 0;
+  for (const auto& t : ledger_.catalogue()) {
+    if (soonest == 0 || t.boot.count() < soonest) soonest = t.boot.count();
+  }
+  return soonest;
+}
+
+// How many of the job's waiting tasks its team's limit lets start; takes them from the team's room.
+std::size_t Controller::within_limit(const protocol::JobSpec& spec, std::size_t waiting,
+                                     std::map<std::string, Resources>& team_room) const {
+  if (!ledger_.limited(spec.team)) return waiting;
+  const base::Team& team = settings_.teams.at(spec.team);
+  auto [room, is_new] = team_room.try_emplace(spec.team);
+  if (is_new) {
+    room->second.v = {team.cores_max, team.gpus_max, 0};
+    room->second -= ledger_.team_use(spec.team);
+  }
+  std::size_t n = waiting;
+  if (team.cores_max > 0 && spec.need.cores() > 0) {
+    const double fit = room->second.cores() / spec.need.cores() + 1e-9;
+    n = std::min(n, static_cast<std::size_t>(std::max(0.0, fit)));
+  }
+  room->second -= spec.need * static_cast<double>(n);
+  return n;
+}
+
+void Controller::add_waiting(FleetInput& in, Time now) {
+  std::map<JobId, std::size_t> share = timely_share(now, soonest_boot());
+  std::map<std::string, Resources> team_room;
+  bool waiting = false;
+  for (const auto& [id, job] : ledger_.jobs()) {
+    const auto& spec = job.record.spec;
+    if (job.pending() == 0 || is_suspect(id, now)) continue;
+    std::size_t n = within_limit(spec, job.pending(), team_room);
+    if (n > 0 && spec.kind == protocol::Kind::kArray && spec.deadline) n = std::min(n, share[id]);
+    if (n == 0) continue;
+    Demand d;
+    d.need = spec.need;
+    d.count = n;
+    d.tier = priorities_.tier(job);
+    d.spec = &spec;
+    d.spot_only = priorities_.is_spare_time(spec);
+    in.demand.push_back(d);
+    if (d.spot_only && starved(job, now)) {
+      // It has waited too long for what others leave over: one task, wherever it may run.
+      d.count = 1;
+      d.spot_only = false;
+      in.demand.push_back(d);
+    }
+    waiting = true;
+  }
+  if (waiting) restless_at_ = now;
+}
+
+// Room for the services that arrive while a machine boots.
+void Controller::add_expected_services(FleetInput& in, Time now) const {
+  const double span =
+      std::clamp(base::between(led_since_, now).count(), kLeastSpan, kArrivalWindow.count());
+  for (const auto& [name, a] : arrivals_) {
+    double tasks = 0;
+    for (const auto& [at, n] : a.recent) {
+      // What was there at the start of this leader's count is not an arrival.
+      if (base::between(led_since_, at) > kCountStarts) tasks += n;
+    }
+    Demand d;
+    d.need = a.spec.need;
+    d.count = static_cast<std::size_t>(
+        std::ceil(tasks / span * soonest_boot() * kBootMargin * settings_.tuning.headroom));
+    d.tier = kExpectedTier;
+    d.spec = &a.spec;
+    if (d.count > 0) in.demand.push_back(d);
+  }
+}
+
+void Controller::add_movable_services(FleetInput& in) const {
+  for (const auto& [machine, tasks] : ledger_.held()) {
+    for (const auto& [task, held] : tasks) {
+      const Job* job = ledger_.job(task.job);
+      if (job && job->record.spec.kind == protocol::Kind::kService && !job->cancelled()) {
+        in.movable[machine].push_back(&job->record.spec);
+      }
+    }
+  }
+}
+
+// Tells the owners of machines that are to be emptied or closed: here, or with the answer to their
+// next status.
+void Controller::pass_on(const FleetPlan& plan, const Parts& known, Time now) {
+  std::map<MachineId, MemberId> part;
+  for (const auto& [member, rooms] : known) {
+    for (const MachineRoom* r : rooms) part[r->id] = member;
+  }
+  for (const MachineId& id : plan.drain) {
+    drained_at_ = now;
+    if (part[id] == self_.member) {
+      drain({id});
+    } else {
+      to_drain_[part[id]].insert(id);
+    }
+  }
+  for (const MachineId& id : plan.close) {
+    if (part[id] == self_.member) {
+      close_idle({id});
+    } else {
+      to_close_[part[id]].insert(id);
+    }
+  }
+}
+
+void Controller::refused(const MachineKind& kind, Time now) {
+  // Each call to the cloud is one less for what it does have, and for releases.
+  const int n = std::min(refusals_[kind]++, 3);
+  refused_[kind] = base::after(now, kRefusedFor * static_cast<double>(1 << n));
+}
+
+void Controller::rented(const MachineKind& kind, const std::vector<MachineId>& machines,
+                        double wall_now) {
+  for (const MachineId& id : machines) {
+    booting_.push_back({id, kind.type, kind.zone, kind.spot, wall_now});
+    refusals_.erase(kind);
+    zones_[id] = kind.zone;
+  }
+}
+
+std::optional<Transaction> Controller::fleet_record() const {
+  Transaction txn;
+  txn.guards[protocol::kLeadKey] = ledger_.version(protocol::kLeadKey);
+  txn.writes.push_back({protocol::kFleetKey, to_json(booting_, settings_.value_bytes - 1024), {}});
+  return txn;
+}
+
+void Controller::released(const std::vector<MachineId>& machines, Time now) {
+  for (const MachineId& id : machines) to_release_.erase(id);
+  machines_gone(machines, now);
+}
+
+void Controller::listed(const std::vector<protocol::CloudMachine>& machines, Time now,
+                        double wall_now) {
+  if (!leads(now)) return;
+  std::set<MachineId> heard, listed;
+  for (const auto& [member, rooms] : parts(now, kRoomRemembered)) {
+    for (const MachineRoom* r : rooms) heard.insert(r->id);
+  }
+  for (const auto& b : booting_) heard.insert(b.id);
+  for (const auto& c : machines) {
+    listed.insert(c.id);
+    if (gone_.contains(c.id)) continue;
+    zones_.try_emplace(c.id, c.zone);
+    if (c.state == protocol::CloudState::kFailed) {
+      to_release_.insert(c.id);
+      continue;
+    }
+    if (heard.contains(c.id)) {
+      unheard_.erase(c.id);
+      continue;
+    }
+    if (c.state == protocol::CloudState::kStarting &&
+        c.age.count() < boot_time(c.type) * kAdoptFactor) {
+      spdlog::info("machine {} ({}) is booting, rented by another life", c.id.get(), c.type);
+      booting_.push_back({c.id, c.type, c.zone, c.spot, wall_now - c.age.count()});
+      continue;
+    }
+    const Time since = unheard_.try_emplace(c.id, now).first->second;
+    if (base::between(std::max(since, followed_at_), now) >
+        settings_.worker_lease * 2.0 + settings_.list_lag) {
+      spdlog::info("machine {} is listed but reports to nobody: released", c.id.get());
+      to_release_.insert(c.id);
+    }
+  }
+  std::erase_if(unheard_, [&](const auto& u) { return !listed.contains(u.first); });
+}
+
+}  // namespace saddleslip::coordination
--- /dev/null
+++ b/src/coordination/preemption.cpp
@@ -0,0 +1,171 @@
+// Work is stopped to make room for waiting work that may displace it.
+#include <algorithm>
+
+#include "base/log.h"
+#include "coordination/controller.h"
+
+namespace saddleslip::coordination {
+
+using protocol::Kind;
+
+namespace {
+
+constexpr Seconds kPreemptRepeat{6.0};
+constexpr Seconds kSettled{35.0};  // a start that is undone sooner was none
+constexpr double kNoCores = 1e-6;  // less is a rounding error
+
+}  // namespace
+
+// The cores of each team's tasks that were told to stop and have not ended yet.
+std::map<std::string, double> Controller::stopping_cores() const {
+  std::map<std::string, double> stopping;
+  for (const auto& [id, m] : machines_) {
+    for (const TaskId& t : m.evict) {
+      const Job* job = ledger_.job(t.job);
+      if (job && job->holder(t.no)) {
+        stopping[job->record.spec.team] += job->record.spec.need.cores();
+      }
+    }
+  }
+  return stopping;
+}
+
+// By how many cores one more task of the job would exceed its team's limit.
+double Controller::over_team_limit(const protocol::JobSpec& spec) const {
+  if (!ledger_.limited(spec.team)) return 0;
+  const base::Team& team = settings_.teams.at(spec.team);
+  Resources use = ledger_.team_use(spec.team);
+  use += spec.need;
+  return team.cores_max > 0 ? std::max(0.0, use.cores() - team.cores_max) : 0;
+}
+
+bool Controller::may_stop(const Preemption& p, const Job& other) const {
+  const auto& spec = p.job->record.spec;
+  const auto& o = other.record.spec;
+  if (p.displaces == JobPriorities::Displaces::kIdleRank && o.rank != protocol::Rank::kIdle) {
+    return false;
+  }
+  // At its team's limit only the team's own lower work can give way.
+  if (p.over_limit > kNoCores && o.team != spec.team) return false;
+  if (o.rank > spec.rank) return true;
+  if (p.over_limit > kNoCores) return false;
+  // Only what another team runs beyond its guarantee, and no more of it than that: a job within
+  // the guarantee, once stopped, would stop others in its turn, and so on for ever.
+  if (!priorities_.is_guaranteed(*p.job) || o.team == spec.team || o.kind == Kind::kService ||
+      priorities_.is_guaranteed(other)) {
+    return false;
+  }
+  const auto team = settings_.teams.find(o.team);
+  const auto stopping = p.stopping.find(o.team);
+  const double ends = stopping == p.stopping.end() ? 0 : stopping->second;
+  return team != settings_.teams.end() &&
+         ledger_.team_use(o.team).cores() - ends > team->second.cores + kNoCores;
+}
+
+// The tasks on the machine that the job may have stopped, what loses the least first.
+std::vector<Controller::Victim> Controller::candidates(const Preemption& p, const Machine& m,
+                                                       Time now) const {
+  const bool idle_only = p.displaces == JobPriorities::Displaces::kIdleRank;
+  std::vector<Victim> out;
+  for (const auto& [task, held] : ledger_.held_by(m.last.machine)) {
+    const Job* other = ledger_.job(task.job);
+    if (!other || other->cancelled() || m.evict.contains(task) || reported_over(m, task, held) ||
+        !may_stop(p, *other)) {
+      continue;
+    }
+    const auto ran = m.ran.find(task);
+    const Seconds lost = ran == m.ran.end() ? Seconds(0) : base::between(ran->second, now);
+    // Stopped again as soon as it began, spare-time work would never be served.
+    if (idle_only && lost < kSettled) continue;
+    out.push_back({task, other->record.spec.need, lost});
+  }
+  std::sort(out.begin(), out.end(),
+            [](const Victim& a, const Victim& b) { return a.lost < b.lost; });
+  return out;
+}
+
+// What would have to be stopped on this machine for one task of the job; none if that can't be done.
+std::optional<Controller::Sacrifice> Controller::sacrifice_on(const Preemption& p, const Machine& m,
+                                                              Time now) const {
+  const auto& spec = p.job->record.spec;
+  Resources room = look(m).free;
+  room += being_stopped(m);
+  if (const auto taken = p.taken.find(m.last.machine); taken != p.taken.end())
+    room -= taken->second;
+  // What a guarantee may take is more than what is of lower rank.
+  if (!priorities_.is_guaranteed(*p.job)) {
+    Resources most = room;
+    most += p.displaces == JobPriorities::Displaces::kIdleRank ? look(m).idle_rank : look(m).lower;
+    if (!most.fits(spec.need)) return {};
+  }
+  Sacrifice out;
+  double excess = p.over_limit;
+  for (const Victim& v : candidates(p, m, now)) {
+    if (room.fits(spec.need) && excess < kNoCores) break;
+    excess -= v.need.cores();
+    room += v.need;
+    out.lost += v.lost.count() * v.need.cores();
+    out.tasks.push_back(v.task);
+  }
+  if (!room.fits(spec.need) || excess > kNoCores) return {};
+  return out;
+}
+
+// Makes room for one task of the job, on the machine on which the least work is lost; where the image
+// is, if that makes it start in time. False: there is nowhere.
+bool Controller::preempt_for_one(Preemption& p, Time now) {
+  const auto& spec = p.job->record.spec;
+  const bool with_image = displaces_for_image(*p.job, now);
+  Machine* best = nullptr;
+  Sacrifice least;
+  for (auto& [id, m] : machines_) {
+    if (m.closed || !fresh(m, now) || !may_run(spec, m.last.type, m.last.zone, m.last.spot) ||
+        (with_image && !m.has_image(spec.image))) {
+      continue;
+    }
+    const auto kept = gathered_.find(id);
+    if (kept != gathered_.end() && kept->second.job != spec.id) continue;
+    auto sacrifice = sacrifice_on(p, m, now);
+    if (!sacrifice || (best && sacrifice->lost >= least.lost)) continue;
+    best = &m;
+    least = std::move(*sacrifice);
+  }
+  if (!best) return false;
+  p.taken[best->last.machine] += spec.need;
+  // What is made room here is kept for it: given away to what was stopped, it had to be made
+  // again and again, and never was enough.
+  gathered_.try_emplace(best->last.machine,
+                        Gathered{spec.id, base::after(now, kPreemptRepeat), false});
+  for (const TaskId& v : least.tasks) {
+    spdlog::info("{}/{} on {} is stopped to make room for {}", v.job.get(), v.no,
+                 best->last.machine.get(), spec.id.get());
+    best->evict.insert(v);
+    if (const Job* other = ledger_.job(v.job))
+      p.stopping[other->record.spec.team] += other->record.spec.need.cores();
+  }
+  preempting_[spec.id] = now;
+  return true;
+}
+
+void Controller::preempt(const std::vector<std::pair<const Job*, std::size_t>>& waiting, Time now) {
+  std::erase_if(preempting_, [&](const auto& p) {
+    return base::between(p.second, now) > kPreemptRepeat || !ledger_.job(p.first);
+  });
+  std::map<std::string, double> stopping;
+  if (std::any_of(waiting.begin(), waiting.end(),
+                  [&](const auto& w) { return priorities_.is_guaranteed(*w.first); })) {
+    stopping = stopping_cores();
+  }
+  for (const auto& [job, count] : waiting) {
+    const auto& spec = job->record.spec;
+    const auto displaces = priorities_.displaces(*job);
+    if (displaces == JobPriorities::Displaces::kNothing || preempting_.contains(spec.id)) continue;
+    Preemption p{job, displaces, over_team_limit(spec), stopping, {}};
+    for (std::size_t left = count; left > 0; --left) {
+      if (!preempt_for_one(p, now)) break;
+    }
+    stopping = std::move(p.stopping);
+  }
+}
+
+}  // namespace saddleslip::coordination
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -25,7 +25,6 @@
 constexpr double kNearLimit = 0.8;  // of a team's limit: ends are recorded at once from here on
 constexpr int kLastTier = 99;       // of what is known no more
 constexpr int kSlowFetch = 6;       // the pass of machines that can't fetch the image in time
-constexpr Seconds kPreemptRepeat{6.0};
 constexpr Seconds kDisplaceFor{1.5};
 constexpr Seconds kRoomToMove{1.5};
 constexpr Seconds kSettled{35.0};  // a start that is undone sooner was none
@@ -509,130 +508,6 @@
   preempt(left, now);
 }
 
-void Controller::preempt(const std::vector<std::pair<const Job*, std::size_t>>& waiting, Time now) {
-  std::erase_if(preempting_, [&](const auto& p) {
-    return base::between(p.second, now) > kPreemptRepeat || !ledger_.job(p.first);
-  });
-  std::map<std::string, double> stopping;  // cores of each team's tasks that were told to stop
-  if (std::any_of(waiting.begin(), waiting.end(),
-                  [&](const auto& w) { return priorities_.is_guaranteed(*w.first); })) {
-    for (const auto& [id, m] : machines_) {
-      for (const TaskId& t : m.evict) {
-        const Job* job = ledger_.job(t.job);
-        if (job && job->holder(t.no)) {
-          stopping[job->record.spec.team] += job->record.spec.need.cores();
-        }
-      }
-    }
-  }
-  for (const auto& [job, count] : waiting) {
-    const auto& spec = job->record.spec;
-    const bool guaranteed = priorities_.is_guaranteed(*job);
-    const auto displaces = priorities_.displaces(*job);
-    if (displaces == JobPriorities::Displaces::kNothing || preempting_.contains(spec.id)) continue;
-    const bool idle_only = displaces == JobPriorities::Displaces::kIdleRank;
-    // At its team's limit only the team's own lower work can give way.
-    double over = 0;
-    if (ledger_.limited(spec.team)) {
-      const base::Team& team = settings_.teams.at(spec.team);
-      Resources use = ledger_.team_use(spec.team);
-      use += spec.need;
-      if (team.cores_max > 0) over = std::max(0.0, use.cores() - team.cores_max);
-    }
-    const auto may_stop = [&](const Job& other) {
-      const auto& o = other.record.spec;
-      if (idle_only && o.rank != Rank::kIdle) return false;
-      if (over > 1e-6 && o.team != spec.team) return false;
-      if (o.rank > spec.rank) return true;
-      if (over > 1e-6) return false;
-      // Only what another team runs beyond its guarantee, and no more of it than that: a job within
-      // the guarantee, once stopped, would stop others in its turn, and so on for ever.
-      if (!guaranteed || o.team == spec.team || o.kind == Kind::kService ||
-          priorities_.is_guaranteed(other)) {
-        return false;
-      }
-      const auto team = settings_.teams.find(o.team);
-      return team != settings_.teams.end() &&
-             ledger_.team_use(o.team).cores() - stopping[o.team] > team->second.cores + 1e-6;
-    };
-    std::size_t left = count;
-    std::map<MachineId, Resources> taken;
-    while (left > 0) {
-      // The machine on which the least work is lost; where the image is, if that makes it start in
-      // time.
-      const bool with_image = displaces_for_image(*job, now);
-      Machine* best = nullptr;
-      std::vector<TaskId> victims;
-      double least = 0;
-      for (auto& [id, m] : machines_) {
-        if (m.closed || !fresh(m, now) || !may_run(spec, m.last.type, m.last.zone, m.last.spot) ||
-            (with_image && !m.has_image(spec.image))) {
-          continue;
-        }
-        const auto other_job = gathered_.find(id);
-        if (other_job != gathered_.end() && other_job->second.job != spec.id) continue;
-        Resources room = look(m).free;
-        room += being_stopped(m);
-        room -= taken[id];
-        Resources most = room;
-        most += idle_only ? look(m).idle_rank : look(m).lower;
-        // What a guarantee may take is more than what is of lower rank.
-        if (!guaranteed && !most.fits(spec.need)) continue;
-        struct Victim {
-          TaskId task;
-          Resources need;
-          double lost;
-        };
-        std::vector<Victim> candidates;
-        for (const auto& [task, held] : ledger_.held_by(id)) {
-          const Job* other = ledger_.job(task.job);
-          if (!other || other->cancelled() || m.evict.contains(task) ||
-              reported_over(m, task, held) || !may_stop(*other)) {
-            continue;
-          }
-          const auto ran = m.ran.find(task);
-          const double lost = ran == m.ran.end() ? 0 : base::between(ran->second, now).count();
-          // Stopped again as soon as it began, spare-time work would never be served.
-          if (idle_only && lost < kSettled.count()) continue;
-          candidates.push_back({task, other->record.spec.need, lost});
-        }
-        std::sort(candidates.begin(), candidates.end(),
-                  [](const Victim& a, const Victim& b) { return a.lost < b.lost; });
-        double lost = 0, excess = over;
-        std::vector<TaskId> chosen;
-        for (const Victim& v : candidates) {
-          if (room.fits(spec.need) && excess < 1e-6) break;
-          excess -= v.need.cores();
-          room += v.need;
-          lost += v.lost * v.need.cores();
-          chosen.push_back(v.task);
-        }
-        if (!room.fits(spec.need) || excess > 1e-6) continue;
-        if (!best || lost < least) {
-          best = &m;
-          least = lost;
-          victims = chosen;
-        }
-      }
-      if (!best) break;
-      taken[best->last.machine] += spec.need;
-      // What is made room here is kept for it: given away to what was stopped, it had to be made
-      // again and again, and never was enough.
-      gathered_.try_emplace(best->last.machine,
-                            Gathered{spec.id, base::after(now, kPreemptRepeat), false});
-      for (const TaskId& v : victims) {
-        spdlog::info("{}/{} on {} is stopped to make room for {}", v.job.get(), v.no,
-                     best->last.machine.get(), spec.id.get());
-        best->evict.insert(v);
-        const Job* other = ledger_.job(v.job);
-        if (other) stopping[other->record.spec.team] += other->record.spec.need.cores();
-      }
-      preempting_[spec.id] = now;
-      --left;
-    }
-  }
-}
-
 Seconds Controller::run_before_end(const RoundPlan::End& end) const {
   const auto at = machines_.find(end.machine);
   if (at == machines_.end()) return Seconds(0);
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -16,6 +16,11 @@
 constexpr std::size_t kStayToDisplace = 2;  // offers, before another part is asked to make room
 constexpr std::size_t kStayWithPart = 40;   // offers, before another part is asked to gather room
 constexpr Seconds kRoomFresh{4.0};          // a sibling's room is relied on for this long
+constexpr double kOfferPeriods = 1.2;       // rounds, before a task is offered again
+constexpr std::size_t kLeastOffered = 8;    // tasks of a job that may displace others
+constexpr int kStarvedTier = -1;            // before all others
+
+}  // namespace
 
 // A machine of a part, less what was offered to it here.
 struct Place {
@@ -103,6 +108,8 @@
   }
 };
 
+namespace {
+
 void add(protocol::Offers& offers, const JobId& job, TaskNo no) {
   if (offers.offers.empty() || offers.offers.back().job != job) offers.offers.push_back({job, {}});
   auto& ranges = offers.offers.back().ranges;
@@ -126,20 +133,45 @@
   }
 }
 
-std::map<MemberId, protocol::Offers> Controller::route(Time now) {
+// What one call to route() works on: the parts, less what was offered to them, and for the job in hand
+// what each part could do for it and which of its tasks are still to be offered.
+struct Controller::Routing {
+  Time now;
+  std::vector<Part> parts;
   std::map<MemberId, protocol::Offers> out;
-  if (!entitled(now)) return out;
-  const Seconds patience = settings_.tuning.round_period * 1.2;
-  if (base::between(tidied_, now) > patience) {
-    tidied_ = now;
-    std::erase_if(offered_, [&](const auto& o) { return base::between(o.second, now) > patience; });
-    std::erase_if(displacing_, [&](const auto& d) { return !ledger_.job(d.first); });
-    std::erase_if(accepted_, [&](const JobId& id) { return !ledger_.job(id); });
+
+  const Job* job = nullptr;
+  JobPriorities::Displaces displaces = JobPriorities::Displaces::kNothing;
+  std::vector<Chances> chances;
+  std::vector<TaskNo> waiting;
+  std::size_t next = 0;  // the first of `waiting` that was not offered
+
+  const protocol::JobSpec& spec() const { return job->record.spec; }
+  bool done() const { return next >= waiting.size(); }
+  std::size_t room() const {
+    std::size_t sum = 0;
+    for (const Chances& c : chances) sum += c.room;
+    return sum;
   }
-  const auto is_offered = [&](const TaskId& task) {
-    const auto o = offered_.find(task);
-    return o != offered_.end() && base::between(o->second, now) <= patience;
-  };
+};
+
+bool Controller::is_offered(const TaskId& task, Time now) const {
+  const auto o = offered_.find(task);
+  return o != offered_.end() &&
+         base::between(o->second, now) <= settings_.tuning.round_period * kOfferPeriods;
+}
+
+// Forgets offers and jobs that are no more; now and then is enough.
+void Controller::tidy_offers(Time now) {
+  const Seconds patience = settings_.tuning.round_period * kOfferPeriods;
+  if (base::between(tidied_, now) <= patience) return;
+  tidied_ = now;
+  std::erase_if(offered_, [&](const auto& o) { return base::between(o.second, now) > patience; });
+  std::erase_if(displacing_, [&](const auto& d) { return !ledger_.job(d.first); });
+  std::erase_if(accepted_, [&](const JobId& id) { return !ledger_.job(id); });
+}
+
+std::vector<const Job*> Controller::jobs_to_route(Time now) const {
   std::vector<const Job*> jobs;
   for (const auto& [id, job] : ledger_.jobs()) {
     if (job.pending() == 0 || !failures_.may_retry(id, now)) continue;
@@ -148,9 +180,11 @@
     const bool is_new = base::between(job.seen, now) < kFirstOffers;
     if (accepted_.contains(id) ? at_home || is_new : at_home && !is_new) jobs.push_back(&job);
   }
-  if (jobs.empty()) return out;
-  priorities_.update_guarantees(now);
-  // Urgent ones see the free room first; among equals what is due first.
+  return jobs;
+}
+
+// Urgent ones see the free room first; among equals what is due first.
+void Controller::sort_by_turn(std::vector<const Job*>& jobs, Time now) const {
   struct Turn {
     int tier;
     double due, submitted;
@@ -160,21 +194,23 @@
     }
   };
   std::vector<Turn> turns;
+  turns.reserve(jobs.size());
   for (const Job* job : jobs) {
-    turns.push_back({starved(*job, now) ? -1 : priorities_.tier(*job), priorities_.due(*job, now),
-                     job->record.submitted, job});
+    const int tier = starved(*job, now) ? kStarvedTier : priorities_.tier(*job);
+    turns.push_back({tier, priorities_.due(*job, now), job->record.submitted, job});
   }
   std::stable_sort(turns.begin(), turns.end());
+  for (std::size_t i = 0; i < turns.size(); ++i) jobs[i] = turns[i].job;
+}
 
-  // Most machines of a full fleet have room for nothing that waits: they are passed over in one go,
-  // not job by job.
-  const auto displaces = [this, now](const Job& job) {
-    return is_suspect(job.record.spec.id, now) ? JobPriorities::Displaces::kNothing
-                                               : priorities_.displaces(job);
-  };
-  const auto may_displace = [&displaces](const Job& job) {
-    return displaces(job) != JobPriorities::Displaces::kNothing;
-  };
+JobPriorities::Displaces Controller::displaces(const Job& job, Time now) const {
+  return is_suspect(job.record.spec.id, now) ? JobPriorities::Displaces::kNothing
+                                             : priorities_.displaces(job);
+}
+
+// Most machines of a full fleet have room for nothing that waits: they are passed over in one go, not
+// job by job.
+std::vector<Part> Controller::routing_parts(const std::vector<const Job*>& jobs, Time now) {
   std::optional<Resources> least, least_displacing;
   const auto lower_to = [](std::optional<Resources>& to, const Resources& need) {
     if (!to) to = need;
@@ -182,11 +218,11 @@
   };
   for (const Job* job : jobs) {
     lower_to(least, job->record.spec.need);
-    if (may_displace(*job)) lower_to(least_displacing, job->record.spec.need);
+    if (displaces(*job, now) != JobPriorities::Displaces::kNothing)
+      lower_to(least_displacing, job->record.spec.need);
   }
-  const auto known = parts(now, kRoomFresh);
   std::vector<Part> all;
-  for (const auto& [member, machines] : known) {
+  for (const auto& [member, machines] : parts(now, kRoomFresh)) {
     Part part{member, {}, 0};
     for (const MachineRoom* m : machines) {
       if (!m->open) continue;
@@ -199,138 +235,168 @@
     }
     all.push_back(std::move(part));
   }
-  std::vector<Chances> chances(all.size());
-  for (const Turn& turn : turns) {
-    const Job* job = turn.job;
-    const auto& spec = job->record.spec;
-    std::size_t room = 0;
-    const auto look_again = [&](std::size_t p) {
-      room -= chances[p].room;
-      chances[p] = all[p].chances(spec, settings_.controller_zones, displaces(*job));
-      room += chances[p].room;
-    };
-    for (std::size_t p = 0; p < all.size(); ++p) {
-      chances[p] = {};
-      look_again(p);
-    }
-    const bool gang = spec.kind == protocol::Kind::kGang;
-    // A gang starts only if all its tasks find room in one round.
-    if (gang && room < job->pending()) continue;
-    const auto ahead = starved(*job, now);
-    if (room == 0 && !ahead && !may_displace(*job)) continue;
-    std::size_t most = ahead ? *ahead : std::max<std::size_t>(room, 8);
-    if (!gang && is_suspect(spec.id, now)) most = 1;
-    std::vector<TaskNo> waiting;
-    for (std::size_t c = 0; c < job->chunks.size() && waiting.size() < most; ++c) {
-      const auto& record = job->chunks[c].record;
-      const TaskNo first = job->chunk_first(c);
-      for (TaskNo i = 0; i < job->chunk_size(c) && waiting.size() < most; ++i) {
-        if (record.done[i] || record.held.contains(first + i) || is_offered({spec.id, first + i})) {
-          continue;
-        }
-        waiting.push_back(first + i);
+  return all;
+}
+
+void Controller::look_at_part(Routing& r, std::size_t part) const {
+  r.chances[part] = r.parts[part].chances(r.spec(), settings_.controller_zones, r.displaces);
+}
+
+std::vector<TaskNo> Controller::tasks_to_offer(const Job& job, std::size_t most, Time now) const {
+  const JobId& id = job.record.spec.id;
+  std::vector<TaskNo> waiting;
+  for (std::size_t c = 0; c < job.chunks.size() && waiting.size() < most; ++c) {
+    const auto& record = job.chunks[c].record;
+    const TaskNo first = job.chunk_first(c);
+    for (TaskNo i = 0; i < job.chunk_size(c) && waiting.size() < most; ++i) {
+      if (record.done[i] || record.held.contains(first + i) || is_offered({id, first + i}, now)) {
+        continue;
       }
+      waiting.push_back(first + i);
     }
-    const auto offer = [&](std::size_t part, std::size_t from, std::size_t n) {
-      auto& offers = out[all[part].member];
-      for (std::size_t i = from; i < from + n; ++i) {
-        add(offers, spec.id, waiting[i]);
-        offered_[{spec.id, waiting[i]}] = now;
-      }
-    };
-    std::size_t next = 0;
-    const bool hurries =
-        JobPriorities::is_urgent(*job) && priorities_.start_within(spec).has_value();
-    if (gang && waiting.size() < job->pending()) continue;
-    if (room > 0 && spec.kind != protocol::Kind::kService && !spec.one_zone) {
-      // Arrays are split by free room; a record's tasks stay together as far as that goes, so that
-      // parts seldom write the same one.
-      const std::size_t n = std::min(waiting.size(), room);
-      std::vector<double> quota(all.size());
-      for (std::size_t p = 0; p < all.size(); ++p) {
-        quota[p] = static_cast<double>(n) * static_cast<double>(chances[p].room) /
-                   static_cast<double>(room);
-      }
-      std::vector<std::size_t> left(all.size());
-      for (std::size_t p = 0; p < all.size(); ++p) left[p] = chances[p].room;
-      while (next < n) {
-        std::size_t run = 1;  // waiting tasks of one record
-        while (next + run < n &&
-               job->record.chunk_of(waiting[next + run]) == job->record.chunk_of(waiting[next])) {
-          ++run;
-        }
-        std::size_t best = all.size();
-        for (std::size_t p = 0; p < all.size(); ++p) {
-          if (left[p] > 0 && (best == all.size() || quota[p] > quota[best])) best = p;
-        }
-        if (best == all.size()) break;
-        const std::size_t share = std::min(run, left[best]);
-        offer(best, next, share);
-        all[best].take(spec, share);
-        left[best] -= share;
-        quota[best] -= static_cast<double>(share);
-        next += share;
-      }
-      for (std::size_t p = 0; p < all.size(); ++p) look_again(p);
-    } else {
-      // Others go to the roomiest part that fits them.
-      while (next < waiting.size()) {
-        std::size_t best = all.size();
-        int best_rank = 0;
-        for (std::size_t p = 0; p < all.size(); ++p) {
-          const Chances& c = chances[p];
-          const bool takes_place = hurries && c.displaces_has;
-          if (c.room == 0 && !takes_place) continue;
-          // A part where the image is already beats a roomier one where it must be fetched, and
-          // so does one with room where controllers are.
-          const int rank = c.has_near ? 4 : c.has ? 3 : takes_place ? 2 : c.near ? 1 : 0;
-          if (best == all.size() || rank > best_rank ||
-              (rank == best_rank && all[p].free_cores > all[best].free_cores)) {
-            best = p;
-            best_rank = rank;
-          }
-        }
-        if (best == all.size()) break;
-        const std::size_t n =
-            spec.one_zone ? std::clamp<std::size_t>(chances[best].room, 1, waiting.size() - next)
-                          : 1;
-        offer(best, next, n);
-        if (chances[best].room > 0) {
-          all[best].take(spec, n);
-        } else {
-          all[best].displace(spec, displaces(*job));
-        }
-        look_again(best);
-        next += n;
-      }
+  }
+  return waiting;
+}
+
+// Offers the next `n` of the job's waiting tasks to that part.
+void Controller::offer(Routing& r, std::size_t part, std::size_t n) {
+  auto& offers = r.out[r.parts[part].member];
+  for (std::size_t i = r.next; i < r.next + n; ++i) {
+    add(offers, r.spec().id, r.waiting[i]);
+    offered_[{r.spec().id, r.waiting[i]}] = r.now;
+  }
+  r.next += n;
+}
+
+// Arrays are split by free room; a record's tasks stay together as far as that goes, so that parts
+// seldom write the same one.
+void Controller::offer_array(Routing& r) {
+  const std::size_t parts = r.parts.size(), room = r.room();
+  const std::size_t n = std::min(r.waiting.size(), room);
+  std::vector<double> quota(parts);
+  std::vector<std::size_t> left(parts);
+  for (std::size_t p = 0; p < parts; ++p) {
+    left[p] = r.chances[p].room;
+    quota[p] = static_cast<double>(n) * static_cast<double>(left[p]) / static_cast<double>(room);
+  }
+  const auto record_of = [&r](std::size_t i) { return r.job->record.chunk_of(r.waiting[i]); };
+  while (r.next < n) {
+    std::size_t run = 1;  // waiting tasks of one record
+    while (r.next + run < n && record_of(r.next + run) == record_of(r.next)) ++run;
+    std::size_t best = parts;
+    for (std::size_t p = 0; p < parts; ++p) {
+      if (left[p] > 0 && (best == parts || quota[p] > quota[best])) best = p;
     }
-    // A job that has waited too long is offered where there is no room as well: it is gathered there.
-    if (!gang && ahead && room == 0 && next < waiting.size()) {
-      offer((++displacing_[spec.id] / kStayWithPart) % all.size(), next, 1);
-      ++next;
+    if (best == parts) break;
+    const std::size_t share = std::min(run, left[best]);
+    offer(r, best, share);
+    r.parts[best].take(r.spec(), share);
+    left[best] -= share;
+    quota[best] -= static_cast<double>(share);
+  }
+  for (std::size_t p = 0; p < parts; ++p) look_at_part(r, p);
+}
+
+// The part that suits one more task of the job best, if any can take it. A part where the image is
+// already beats a roomier one where it must be fetched, and so does one with room where controllers are.
+std::optional<std::size_t> Controller::best_part(const Routing& r) const {
+  const bool hurries =
+      JobPriorities::is_urgent(*r.job) && priorities_.start_within(r.spec()).has_value();
+  std::optional<std::size_t> best;
+  int best_rank = 0;
+  for (std::size_t p = 0; p < r.parts.size(); ++p) {
+    const Chances& c = r.chances[p];
+    const bool takes_place = hurries && c.displaces_has;
+    if (c.room == 0 && !takes_place) continue;
+    const int rank = c.has_near ? 4 : c.has ? 3 : takes_place ? 2 : c.near ? 1 : 0;
+    if (!best || rank > best_rank ||
+        (rank == best_rank && r.parts[p].free_cores > r.parts[*best].free_cores)) {
+      best = p;
+      best_rank = rank;
     }
-    // Without room anywhere, what may displace other work goes where that can be done.
-    if (!gang && may_displace(*job)) {
-      while (next < waiting.size()) {
-        // Now and then another part: what can give way there may be of a team that need not. Not
-        // each time, or room would be made in all of them.
-        const std::size_t from = ++displacing_[spec.id] / kStayToDisplace;
-        std::size_t i = 0;
-        while (i < all.size() && !chances[(from + i) % all.size()].displaces) ++i;
-        if (i == all.size()) break;
-        const std::size_t p = (from + i) % all.size();
-        offer(p, next, 1);
-        all[p].displace(spec, displaces(*job));
-        look_again(p);
-        ++next;
-      }
+  }
+  return best;
+}
+
+// Others than arrays go to the roomiest part that fits them.
+void Controller::offer_to_roomiest(Routing& r) {
+  while (!r.done()) {
+    const auto best = best_part(r);
+    if (!best) return;
+    const std::size_t room = r.chances[*best].room, left = r.waiting.size() - r.next;
+    const std::size_t n = r.spec().one_zone ? std::clamp<std::size_t>(room, 1, left) : 1;
+    offer(r, *best, n);
+    if (room > 0) {
+      r.parts[*best].take(r.spec(), n);
+    } else {
+      r.parts[*best].displace(r.spec(), r.displaces);
     }
+    look_at_part(r, *best);
+  }
+}
+
+// Without room anywhere, what may displace other work goes where that can be done.
+void Controller::offer_to_displace(Routing& r) {
+  const std::size_t parts = r.parts.size();
+  while (!r.done()) {
+    // Now and then another part: what can give way there may be of a team that need not. Not
+    // each time, or room would be made in all of them.
+    const std::size_t from = ++displacing_[r.spec().id] / kStayToDisplace;
+    std::size_t i = 0;
+    while (i < parts && !r.chances[(from + i) % parts].displaces) ++i;
+    if (i == parts) return;
+    const std::size_t part = (from + i) % parts;
+    offer(r, part, 1);
+    r.parts[part].displace(r.spec(), r.displaces);
+    look_at_part(r, part);
+  }
+}
+
+void Controller::route_job(Routing& r, const Job& job) {
+  r.job = &job;
+  r.displaces = displaces(job, r.now);
+  r.chances.assign(r.parts.size(), {});
+  for (std::size_t p = 0; p < r.parts.size(); ++p) look_at_part(r, p);
+  const bool may_displace = r.displaces != JobPriorities::Displaces::kNothing;
+  const bool gang = r.spec().kind == protocol::Kind::kGang;
+  const std::size_t room = r.room();
+  // A gang starts only if all its tasks find room in one round.
+  if (gang && room < job.pending()) return;
+  const auto ahead = starved(job, r.now);
+  if (room == 0 && !ahead && !may_displace) return;
+  std::size_t most = ahead ? *ahead : std::max<std::size_t>(room, kLeastOffered);
+  if (!gang && is_suspect(r.spec().id, r.now)) most = 1;
+  r.waiting = tasks_to_offer(job, most, r.now);
+  r.next = 0;
+  if (gang && r.waiting.size() < job.pending()) return;
+  if (room > 0 && r.spec().kind != protocol::Kind::kService && !r.spec().one_zone) {
+    offer_array(r);
+  } else {
+    offer_to_roomiest(r);
+  }
+  // A job that has waited too long is offered where there is no room as well: it is gathered there.
+  if (!gang && ahead && r.room() == 0 && !r.done()) {
+    offer(r, (++displacing_[r.spec().id] / kStayWithPart) % r.parts.size(), 1);
   }
-  for (auto& [member, offers] : out) {
+  if (!gang && may_displace) offer_to_displace(r);
+}
+
+std::map<MemberId, protocol::Offers> Controller::route(Time now) {
+  if (!entitled(now)) return {};
+  tidy_offers(now);
+  std::vector<const Job*> jobs = jobs_to_route(now);
+  if (jobs.empty()) return {};
+  priorities_.update_guarantees(now);
+  sort_by_turn(jobs, now);
+  Routing r;
+  r.now = now;
+  r.parts = routing_parts(jobs, now);
+  for (const Job* job : jobs) route_job(r, *job);
+  for (auto& [member, offers] : r.out) {
     offers.from = self_;
     offers.epoch = ledger_.view()->epoch;
   }
-  return out;
+  return std::move(r.out);
 }
 
 }  // namespace saddleslip::coordination
--- a/src/node.h
+++ b/src/node.h
@@ -84,6 +84,19 @@
   void send_orders();
   void enqueue(std::vector<coordination::Order> orders);
   void fleet();
+  // A request for machines, under a name of its own.
+  struct Rental {
+    std::string name;
+    coordination::MachineKind kind;
+    int count = 0;
+  };
+  enum class RentOutcome { kRented, kRefused, kStop };
+  void read_catalogue();
+  void read_list();
+  void release(std::vector<base::MachineId> machines);
+  std::deque<Rental> rentals(const coordination::FleetPlan& plan);
+  void rent(const coordination::FleetPlan& plan, Seconds gap);
+  RentOutcome rent_once(const Rental& r);
   void pay_writes(std::size_t n);
   double write_rate();
   coordination::Pace await_writes();
@@ -130,6 +143,10 @@
   double write_credit_ = 0;
   Time write_credit_at_{};
   std::uint64_t hires_ = 0;
+  std::optional<Rental> open_rental_;  // sent, and not answered for certain
+  struct CloudRead {
+    Time catalogue{}, list{};
+  } cloud_read_;  // when each was last read
 
   // Users' requests under way, most of which wait for the state service. While it is slow or silent
   // they must not take all the threads that answer workers and probes.
