--- a/src/bookkeeping/machines.h
+++ b/src/bookkeeping/machines.h
@@ -33,7 +33,6 @@
   std::size_t evicted = 0;
   Resources free;
   Resources lower;      // taken by tasks that more urgent work may stop
-  Resources idle_rank;  // ... of those by tasks of the lowest rank
   bool active = false;  // it reports something that is not over
   bool stops = false;   // something on it is to be stopped
   struct Over {
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -527,9 +527,7 @@
         o.over.push_back({task, "never started", false});
       }
       o.free -= spec.need;
-      if (m.evict.contains(task)) continue;
-      if (spec.rank >= protocol::Rank::kStandard) o.lower += spec.need;
-      if (spec.rank == protocol::Rank::kIdle) o.idle_rank += spec.need;
+      if (spec.rank >= protocol::Rank::kStandard && !m.evict.contains(task)) o.lower += spec.need;
     }
   }
   bool strange = false;
@@ -567,7 +565,7 @@
   const bool late = base::between(m.heard, now) > settings_.report_every * bookkeeping::kOverdue;
   if (!is_new && r.silent == silent && r.late == late && r.soon == soon && r.unsure == unsure &&
       r.open == open && r.idle_since == idle && r.tasks == o.held && r.free == o.free &&
-      r.lower == o.lower && r.idle_rank == o.idle_rank &&
+      r.lower == o.lower &&
       (m.room_report == report ||
        std::equal(r.images.begin(), r.images.end(), m.images.begin(), m.images.end(),
                   [](const std::string& a, const auto& b) { return a == b.first; }))) {
@@ -587,7 +585,6 @@
   r.open = open;
   r.free = o.free;
   r.lower = o.lower;
-  r.idle_rank = o.idle_rank;
   r.tasks = o.held;
   r.idle_since = idle;
   if (is_new || m.room_report != report) {
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -280,7 +280,7 @@
   void tidy_offers(Time now);
   std::vector<const Job*> jobs_to_route(Time now) const;
   void sort_by_turn(std::vector<const Job*>& jobs, Time now) const;
-  JobPriorities::Displaces displaces(const Job& job, Time now) const;
+  bool may_displace(const Job& job, Time now) const;
   std::vector<Part> routing_parts(const std::vector<const Job*>& jobs, Time now);
   void look_at_part(Routing& r, std::size_t part) const;
   std::vector<TaskNo> tasks_to_offer(const Job& job, std::size_t most, Time now) const;
@@ -305,7 +305,6 @@
   // A waiting job that may displace other work, and what was done for it and before it.
   struct Preemption {
     const Job* job;
-    JobPriorities::Displaces displaces;
     double over_limit;                       // cores that its team must give up first
     std::map<std::string, double> stopping;  // cores of each team that were told to stop
     std::map<MachineId, Resources> taken;    // room that was made for the job
--- a/src/coordination/job_priorities.cpp
+++ b/src/coordination/job_priorities.cpp
@@ -110,10 +110,8 @@
   return {};
 }
 
-JobPriorities::Displaces JobPriorities::displaces(const Job& job) const {
-  if (is_urgent(job) || is_guaranteed(job)) return Displaces::kLowerWork;
-  const auto& spec = job.record.spec;
-  return spec.rank == Rank::kStandard && spec.deadline ? Displaces::kIdleRank : Displaces::kNothing;
+bool JobPriorities::may_displace(const Job& job) const {
+  return is_urgent(job) || is_guaranteed(job);
 }
 
 bool JobPriorities::is_spare_time(const protocol::JobSpec& spec) const {
--- a/src/coordination/job_priorities.h
+++ b/src/coordination/job_priorities.h
@@ -35,9 +35,8 @@
   double due(const bookkeeping::Job& job, base::Time now) const;
   // How soon a job of this class should start, if the objectives say.
   std::optional<base::Seconds> start_within(const protocol::JobSpec& spec) const;
-  // Which running work a waiting job may have stopped.
-  enum class Displaces { kNothing, kIdleRank, kLowerWork };
-  Displaces displaces(const bookkeeping::Job& job) const;
+  // May it have lower work stopped to get room? Guaranteed jobs also what others run beyond theirs.
+  bool may_displace(const bookkeeping::Job& job) const;
   // Work of the lowest priority that nobody set an objective for: it gets what others leave over.
   bool is_spare_time(const protocol::JobSpec& spec) const;
   // Has it waited so long that it goes before others? Then so many of its tasks do.
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Seconds kPreemptRepeat{6.0};
-constexpr Seconds kSettled{35.0};  // a start that is undone sooner was none
 constexpr double kNoCores = 1e-6;  // less is a rounding error
 
 }  // namespace
@@ -42,9 +41,6 @@
 bool Controller::may_stop(const Preemption& p, const Job& other) const {
   const auto& spec = p.job->record.spec;
   const auto& o = other.record.spec;
-  if (p.displaces == JobPriorities::Displaces::kIdleRank && o.rank != protocol::Rank::kIdle) {
-    return false;
-  }
   // At its team's limit only the team's own lower work can give way.
   if (p.over_limit > kNoCores && o.team != spec.team) return false;
   if (o.rank > spec.rank) return true;
@@ -65,7 +61,6 @@
 // The tasks on the machine that the job may have stopped, what loses the least first.
 std::vector<Controller::Victim> Controller::candidates(const Preemption& p, const Machine& m,
                                                        Time now) const {
-  const bool idle_only = p.displaces == JobPriorities::Displaces::kIdleRank;
   std::vector<Victim> out;
   for (const auto& [task, held] : ledger_.held_by(m.last.machine)) {
     const Job* other = ledger_.job(task.job);
@@ -75,8 +70,6 @@
     }
     const auto ran = m.ran.find(task);
     const Seconds lost = ran == m.ran.end() ? Seconds(0) : base::between(ran->second, now);
-    // Stopped again as soon as it began, spare-time work would never be served.
-    if (idle_only && lost < kSettled) continue;
     out.push_back({task, other->record.spec.need, lost});
   }
   std::sort(out.begin(), out.end(),
@@ -95,7 +88,7 @@
   // What a guarantee may take is more than what is of lower rank.
   if (!priorities_.is_guaranteed(*p.job)) {
     Resources most = room;
-    most += p.displaces == JobPriorities::Displaces::kIdleRank ? look(m).idle_rank : look(m).lower;
+    most += look(m).lower;
     if (!most.fits(spec.need)) return {};
   }
   Sacrifice out;
@@ -158,9 +151,8 @@
   }
   for (const auto& [job, count] : waiting) {
     const auto& spec = job->record.spec;
-    const auto displaces = priorities_.displaces(*job);
-    if (displaces == JobPriorities::Displaces::kNothing || preempting_.contains(spec.id)) continue;
-    Preemption p{job, displaces, over_team_limit(spec), stopping, {}};
+    if (!priorities_.may_displace(*job) || preempting_.contains(spec.id)) continue;
+    Preemption p{job, over_team_limit(spec), stopping, {}};
     for (std::size_t left = count; left > 0; --left) {
       if (!preempt_for_one(p, now)) break;
     }
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -25,14 +25,7 @@
 // A machine of a part, less what was offered to it here.
 struct Place {
   const MachineRoom* machine;
-  Resources free, lower, idle_rank;
-
-  Resources& yielding(JobPriorities::Displaces displaces) {
-    return displaces == JobPriorities::Displaces::kIdleRank ? idle_rank : lower;
-  }
-  const Resources& yielding(JobPriorities::Displaces displaces) const {
-    return displaces == JobPriorities::Displaces::kIdleRank ? idle_rank : lower;
-  }
+  Resources free, lower;
 };
 
 // What a part could do for one job.
@@ -51,8 +44,7 @@
   double free_cores = 0;
 
   Chances chances(const protocol::JobSpec& spec, const std::set<std::string>& near_zones,
-                  JobPriorities::Displaces displaces) const {
-    const bool may_displace = displaces != JobPriorities::Displaces::kNothing;
+                  bool may_displace) const {
     Chances c;
     for (const Place& p : places) {
       const MachineRoom& m = *p.machine;
@@ -73,7 +65,7 @@
       }
       if (may_displace && (!c.displaces || (has && !c.displaces_has))) {
         Resources r = p.free;
-        r += p.yielding(displaces);
+        r += p.lower;
         if (r.fits(spec.need)) {
           c.displaces = true;
           c.displaces_has = c.displaces_has || has;
@@ -96,13 +88,13 @@
     }
   }
 
-  void displace(const protocol::JobSpec& spec, JobPriorities::Displaces displaces) {
+  void displace(const protocol::JobSpec& spec) {
     for (Place& p : places) {
       const MachineRoom& m = *p.machine;
       Resources r = p.free;
-      r += p.yielding(displaces);
+      r += p.lower;
       if (!r.fits(spec.need) || !may_run(spec, m.type, m.zone, m.spot)) continue;
-      p.yielding(displaces) -= spec.need;
+      p.lower -= spec.need;
       return;
     }
   }
@@ -141,7 +133,7 @@
   std::map<MemberId, protocol::Offers> out;
 
   const Job* job = nullptr;
-  JobPriorities::Displaces displaces = JobPriorities::Displaces::kNothing;
+  bool may_displace = false;
   std::vector<Chances> chances;
   std::vector<TaskNo> waiting;
   std::size_t next = 0;  // the first of `waiting` that was not offered
@@ -203,9 +195,8 @@
   for (std::size_t i = 0; i < turns.size(); ++i) jobs[i] = turns[i].job;
 }
 
-JobPriorities::Displaces Controller::displaces(const Job& job, Time now) const {
-  return is_suspect(job.record.spec.id, now) ? JobPriorities::Displaces::kNothing
-                                             : priorities_.displaces(job);
+bool Controller::may_displace(const Job& job, Time now) const {
+  return !is_suspect(job.record.spec.id, now) && priorities_.may_displace(job);
 }
 
 // Most machines of a full fleet have room for nothing that waits: they are passed over in one go, not
@@ -218,8 +209,7 @@
   };
   for (const Job* job : jobs) {
     lower_to(least, job->record.spec.need);
-    if (displaces(*job, now) != JobPriorities::Displaces::kNothing)
-      lower_to(least_displacing, job->record.spec.need);
+    if (may_displace(*job, now)) lower_to(least_displacing, job->record.spec.need);
   }
   std::vector<Part> all;
   for (const auto& [member, machines] : parts(now, kRoomFresh)) {
@@ -230,7 +220,7 @@
       Resources with_lower = m->free;
       with_lower += m->lower;
       if (m->free.fits(*least) || (least_displacing && with_lower.fits(*least_displacing))) {
-        part.places.push_back({m, m->free, m->lower, m->idle_rank});
+        part.places.push_back({m, m->free, m->lower});
       }
     }
     all.push_back(std::move(part));
@@ -239,7 +229,7 @@
 }
 
 void Controller::look_at_part(Routing& r, std::size_t part) const {
-  r.chances[part] = r.parts[part].chances(r.spec(), settings_.controller_zones, r.displaces);
+  r.chances[part] = r.parts[part].chances(r.spec(), settings_.controller_zones, r.may_displace);
 }
 
 std::vector<TaskNo> Controller::tasks_to_offer(const Job& job, std::size_t most, Time now) const {
@@ -329,7 +319,7 @@
     if (room > 0) {
       r.parts[*best].take(r.spec(), n);
     } else {
-      r.parts[*best].displace(r.spec(), r.displaces);
+      r.parts[*best].displace(r.spec());
     }
     look_at_part(r, *best);
   }
@@ -347,23 +337,22 @@
     if (i == parts) return;
     const std::size_t part = (from + i) % parts;
     offer(r, part, 1);
-    r.parts[part].displace(r.spec(), r.displaces);
+    r.parts[part].displace(r.spec());
     look_at_part(r, part);
   }
 }
 
 void Controller::route_job(Routing& r, const Job& job) {
   r.job = &job;
-  r.displaces = displaces(job, r.now);
+  r.may_displace = may_displace(job, r.now);
   r.chances.assign(r.parts.size(), {});
   for (std::size_t p = 0; p < r.parts.size(); ++p) look_at_part(r, p);
-  const bool may_displace = r.displaces != JobPriorities::Displaces::kNothing;
   const bool gang = r.spec().kind == protocol::Kind::kGang;
   const std::size_t room = r.room();
   // A gang starts only if all its tasks find room in one round.
   if (gang && room < job.pending()) return;
   const auto ahead = starved(job, r.now);
-  if (room == 0 && !ahead && !may_displace) return;
+  if (room == 0 && !ahead && !r.may_displace) return;
   std::size_t most = ahead ? *ahead : std::max<std::size_t>(room, kLeastOffered);
   if (!gang && is_suspect(r.spec().id, r.now)) most = 1;
   r.waiting = tasks_to_offer(job, most, r.now);
@@ -378,7 +367,7 @@
   if (!gang && ahead && r.room() == 0 && !r.done()) {
     offer(r, (++displacing_[r.spec().id] / kStayWithPart) % r.parts.size(), 1);
   }
-  if (!gang && may_displace) offer_to_displace(r);
+  if (!gang && r.may_displace) offer_to_displace(r);
 }
 
 std::map<MemberId, protocol::Offers> Controller::route(Time now) {
--- a/src/protocol/records.cpp
+++ b/src/protocol/records.cpp
@@ -265,7 +265,7 @@
   for (const MachineRoom& m : s.machines) {
     machines.push_back({m.id.get(), m.type, m.zone, m.spot, m.open, m.free.v, m.lower.v, m.tasks,
                         m.tasks > 0 ? 0.0 : base::between(m.idle_since, now).count(), m.images,
-                        m.silent, m.unsure, m.soon, m.late, m.idle_rank.v});
+                        m.silent, m.unsure, m.soon, m.late});
   }
   return Json{{"from", to_json(s.from)},
               {"state", s.has_state},
@@ -305,7 +305,6 @@
       room.unsure = m.at(11).get<bool>();
       room.soon = m.at(12).get<bool>();
       room.late = m.at(13).get<bool>();
-      room.idle_rank.v = m.at(14).get<std::array<double, 3>>();
       s.machines.push_back(std::move(room));
     }
     s.left = parse_ids<MachineId>(body, "left");
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -156,8 +156,7 @@
   bool spot = false;
   bool open = true;  // takes new tasks
   Resources free;
-  Resources lower;      // held by tasks of standard and idle rank, which urgent work may displace
-  Resources idle_rank;  // ... of those by tasks of idle rank
+  Resources lower;  // held by tasks of standard and idle rank, which urgent work may displace
   std::uint32_t tasks = 0;
   Time idle_since{};  // when it last had a task, if it has none
   std::vector<std::string> images;
