--- a/tests/world.h
+++ b/tests/world.h
@@ -44,6 +44,8 @@
 using protocol::Command;
 using protocol::Json;
 
+class CommandLine;
+
 class World {
  public:
   // Runs a scenario's text; returns what went wrong, line by line (empty: all as expected).
@@ -169,7 +171,15 @@
   void check_served(double after);
   bool troubled() const;
   void broken(const std::string& what);
-  void command(const std::string& line);
+  // The scenario language, by what a command is about. False: the word is none of these.
+  void command(const std::string& text);
+  bool set_up(CommandLine& line);
+  bool trouble_controllers(CommandLine& line);
+  bool trouble_machines(CommandLine& line);
+  bool use(CommandLine& line);
+  void submit_job(CommandLine& line);
+  bool expect_job(const std::string& what, CommandLine& line);
+  bool expect_fleet(const std::string& what, CommandLine& line);
   void step();
 
   std::map<std::string, Key> store_;
--- /dev/null
+++ b/tests/world_checks.cpp
@@ -0,0 +1,215 @@
+// Users' questions, the rules of the protocol, and the operators' checks of a whole day.
+#include <algorithm>
+#include <sstream>
+
+#include "coordination/intake.h"
+#include "world.h"
+#include "world_internal.h"
+
+namespace saddleslip::testing {
+
+namespace {
+
+constexpr double kForgottenAfter = 75;
+constexpr double kLeftWaitingAfter = 90;
+
+}  // namespace
+
+void World::check_start(const Worker& w, const TaskId& task) {
+  ++starts_;
+  const auto j = jobs_.find(task.job);
+  if (j == jobs_.end()) return broken("invented: a task of an unknown job starts");
+  ++j->second.starts;
+  const auto& spec = j->second.spec;
+  const std::string text = task.job.get() + "/" + std::to_string(task.no);
+  std::map<std::string, int> zones;
+  for (const auto& [id, other] : workers_) {
+    for (const auto& [t, attempts] : other.tasks) {
+      const bool on = std::any_of(attempts.begin(), attempts.end(),
+                                  [](const Task& a) { return is_active(a.state); });
+      if (!on || t.job != task.job || !other.alive) continue;
+      if (t == task && id != w.id)
+        broken("ran_twice: " + text + " starts on " + w.id + ", is on " + id);
+      if (t != task) ++zones[other.zone];
+    }
+  }
+  if (!coordination::may_run(spec, w.type, w.zone, w.spot)) broken("wrong_place: " + text);
+  if (spec.one_zone && !zones.empty() && !zones.contains(w.zone))
+    broken("wrong_place: " + text + " in another zone");
+  if (spec.spread && zones[w.zone] + 1 > static_cast<int>((spec.tasks + 1) / 2)) {
+    broken("wrong_place: too many of " + spec.id.get() + " in " + w.zone);
+  }
+}
+
+void World::check_command(std::size_t n, const TaskId& task) {
+  const auto job = jobs_.find(task.job);
+  if (job == jobs_.end() || !job->second.cancelled_at) return;
+  bool hears = state_reachable(n);
+  for (std::size_t m = 0; m < nodes_.size(); ++m) {
+    hears = hears || (m != n && nodes_[m].up && !cut(node_name(n), node_name(m)));
+  }
+  const double since = t_ - *job->second.cancelled_at;
+  if (since > (hears ? 0 : nodes_[n].settings.tuning.member_ttl.count()))
+    broken("ran_cancelled: " + node_name(n) + " commands a start of " + task.job.get() + " " +
+           std::to_string(since) + " s after its cancellation was confirmed");
+}
+
+void World::submit(std::size_t n, JobSim& job) {
+  Json j = to_json(job.spec);
+  if (!nodes_[n].up || !nodes_[n].loaded) return;
+  const auto r = nodes_[n].users->submit(j.dump(), now());
+  if (r.status == 201 || r.status == 200) job.accepted = true;
+  if ((r.status == 400 || r.status == 422) && job.accepted)
+    broken("forgotten: " + job.spec.id.get());
+}
+
+bool World::troubled() const {
+  if (state_down_ || !cuts_.empty() || !late_commit_.empty() || !watch_lag_.empty()) return true;
+  return std::any_of(nodes_.begin(), nodes_.end(), [this](const NodeSim& n) {
+    return !n.up || !n.loaded || t_ < n.frozen_until;
+  });
+}
+
+void World::poll() {
+  next_poll_ = t_ + 0.5;
+  if (troubled()) troubles_over_ = t_;
+  for (auto& [id, job] : jobs_) {
+    if (!job.accepted) submit(0, job);
+    if (!job.accepted) continue;
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      if (!nodes_[n].up || !nodes_[n].loaded || t_ < nodes_[n].frozen_until || unasked_.contains(n))
+        continue;
+      if (job.cancel_asked && !job.cancelled_at && job.told_final.empty()) {
+        const auto r = nodes_[n].users->cancel(id, now());
+        if (r.status == 200) job.cancelled_at = t_;
+      }
+      const auto r = nodes_[n].users->status(id);
+      if (r.status == 404) broken("forgotten: " + id.get());
+      if (r.status != 200) continue;
+      job.known_at = t_;
+      std::string status = Json::parse(r.body)["status"];
+      if (status == "withdrawn") status = "cancelled";  // the wire's word for it
+      if (!job.told_final.empty() && status != job.told_final) {
+        broken("went_back: " + id.get() + " from " + job.told_final + " to " + status);
+      }
+      if (status == "done" && job.done.size() < job.spec.tasks) broken("not_done: " + id.get());
+      if (status == "cancelled" && !job.cancel_asked)
+        broken("went_back: " + id.get() + " cancelled by nobody");
+      if (status == "done" || status == "cancelled") job.told_final = status;
+    }
+  }
+  check_waiting();
+  for (const auto& [id, job] : jobs_) {
+    if (job.accepted && t_ - std::max(job.known_at, troubles_over_) > kForgottenAfter)
+      broken("forgotten: no question about " + id.get() + " is answered");
+  }
+  for (std::size_t n = 0; n < nodes_.size(); ++n) {
+    if (!nodes_[n].up || !nodes_[n].loaded || unasked_.contains(n)) continue;
+    if (nodes_[n].users->status(JobId("run-999999")).status == 200) broken("invented: run-999999");
+  }
+}
+
+void World::check_rules() {
+  std::map<std::string, double> use;
+  for (const auto& [id, w] : workers_) {
+    if (!w.alive) continue;
+    for (const auto& [task, attempts] : w.tasks) {
+      const auto job = jobs_.find(task.job);
+      if (job == jobs_.end()) continue;
+      for (const Task& a : attempts) {
+        if (a.state != "running") continue;
+        use[job->second.spec.team] += job->second.spec.need.cores();
+        if (job->second.cancelled_at && t_ > *job->second.cancelled_at + cancel_s_) {
+          broken("ran_cancelled: " + task.job.get() + "/" + std::to_string(task.no));
+          return;
+        }
+      }
+    }
+  }
+  for (const Json& team : Json::parse("[" + teams_ + "]")) {
+    const double most = team["cpus_max"];
+    const double used = use[team["name"]];
+    if (most > 0 && used > most + 1e-6) {
+      broken("quota: team " + team["name"].get<std::string>() + " uses " + std::to_string(used));
+    }
+  }
+}
+
+// Is a task of a job left waiting though a machine that fits has room and its team is under its limit?
+void World::check_waiting() {
+  std::map<std::string, double> team_use;
+  std::map<std::string, double> used;
+  std::map<JobId, std::set<TaskNo>> on;  // on a machine, or ended there
+  for (const auto& [id, w] : workers_) {
+    for (const auto& [task, attempts] : w.tasks) {
+      const auto job = jobs_.find(task.job);
+      if (job == jobs_.end()) continue;
+      for (const Task& a : attempts) {
+        if (!is_active(a.state)) continue;
+        on[task.job].insert(task.no);
+        used[id] += job->second.spec.need.cores();
+        team_use[job->second.spec.team] += job->second.spec.need.cores();
+      }
+    }
+  }
+  std::map<std::string, double> limits;
+  for (const Json& t : Json::parse("[" + teams_ + "]")) {
+    const double most = t["cpus_max"];
+    limits[t["name"]] = most > 0 ? most : 1e9;
+  }
+  for (auto& [id, job] : jobs_) {
+    const auto& spec = job.spec;
+    // A job that fails wherever it runs waits for ever: it is left waiting if it is not tried again.
+    if (job.fails_after && job.starts > job.starts_seen) job.room_since.reset();
+    job.starts_seen = job.starts;
+    std::set<TaskNo> busy = on[id];
+    if (spec.kind != protocol::Kind::kService) busy.insert(job.done.begin(), job.done.end());
+    const bool waits = job.accepted && !job.cancel_asked && busy.size() < spec.tasks;
+    const bool room =
+        waits && team_use[spec.team] + spec.need.cores() <= limits.at(spec.team) + 1e-6 &&
+        std::any_of(workers_.begin(), workers_.end(), [&](const auto& m) {
+          const Worker& w = m.second;
+          return w.alive && !w.hung && !w.sick && !w.deaf && !w.mute && !w.taken_at &&
+                 t_ >= w.boots && coordination::may_run(spec, w.type, w.zone, w.spot) &&
+                 used[m.first] + spec.need.cores() <= cores_of(w.type) + 1e-6;
+        });
+    // Gangs and jobs bound to one zone or spread need more than one machine's room.
+    if (!room || troubled() || spec.kind == protocol::Kind::kGang || spec.one_zone || spec.spread) {
+      job.room_since.reset();
+    } else if (!job.room_since) {
+      job.room_since = t_;
+    } else if (t_ - *job.room_since > kLeftWaitingAfter) {
+      broken("left waiting: " + id.get() + " though a machine has room for it");
+    }
+  }
+}
+
+// Half of each class, of each team, and of each class's largest jobs is served, of those that have had
+// so long for it. A day that fails this counts for nothing.
+void World::check_served(double after) {
+  std::map<std::string, std::pair<std::size_t, std::size_t>> served;
+  std::map<std::string, TaskNo> largest;
+  for (const auto& [id, job] : jobs_) {
+    auto& most = largest[job.spec.job_class];
+    most = std::max(most, job.spec.tasks);
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (job.cancel_asked || t_ - std::max(job.submitted, troubles_over_) < after) continue;
+    const auto count = [&served](const std::string& group, bool is_served) {
+      ++served[group].second;
+      if (is_served) ++served[group].first;
+    };
+    const bool began = job.began.has_value();
+    count("class " + job.spec.job_class, began);
+    count("team " + job.spec.team, began);
+    if (job.spec.tasks == largest[job.spec.job_class])
+      count("the largest of class " + job.spec.job_class, began && job.waited <= kServedWithin);
+  }
+  for (const auto& [group, n] : served) {
+    if (n.first * 2 < n.second)
+      broken("served of " + group + ": " + std::to_string(n.first) + " of " +
+             std::to_string(n.second));
+  }
+}
+
+}  // namespace saddleslip::testing
--- /dev/null
+++ b/tests/world_controllers.cpp
@@ -0,0 +1,305 @@
+// Plays the loops of the controllers' processes in steps of simulated time.
+#include <algorithm>
+
+#include "world.h"
+#include "world_internal.h"
+
+namespace saddleslip::testing {
+
+void World::start_node(std::size_t n) {
+  NodeSim& node = nodes_[n];
+  Json siblings = Json::array();
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (i != n) siblings.push_back({{"member", node_name(i)}, {"address", "10.0.0.1:1"}});
+  }
+  const Json j = {
+      {"member", node_name(n)},
+      {"serve_on", "10.0.0.1:1"},
+      {"peer_listen", "10.0.0.1:2"},
+      {"siblings", siblings},
+      {"endpoints", {{"cloud", "10.0.0.1:3"}, {"state", "10.0.0.1:4"}}},
+      {"settings",
+       {{"size", nodes_.size()},
+        {"teams", Json::parse("[" + teams_ + "]")},
+        {"workers", {{"report_s", report_s_}, {"lease_s", lease_s_}, {"cancel_s", cancel_s_}}},
+        {"cloud", {{"list_lag_s", 5}}}}}};
+  node.settings = base::parse_settings(j.dump());
+  base::apply_tuning(node.settings, operators_);
+  node.mutex = std::make_unique<std::mutex>();
+  node.controller = std::make_unique<coordination::Controller>(node.settings);
+  node.users = std::make_unique<Users>(
+      node.settings, *node.mutex, *node.controller,
+      Users::Store{[this, n] { return catch_up(n); },
+                   [this, n](const std::string& key) { return get(n, key); },
+                   [this, n](const protocol::Transaction& txn) { return commit(n, txn); },
+                   [this] { return 1000 + t_; }, [this, n] { nodes_[n].rung = true; },
+                   [this, n](const JobId& id) { tell_cancelled(n, id); }});
+  node.up = true;
+  node.loaded = false;
+  node.lease.reset();
+  node.next_beat = node.next_round = node.next_tell = node.next_fleet = node.busy_until = 0;
+  node.back_at = node.records_at = -1;
+}
+
+bool World::takes_word(std::size_t from, std::size_t n) const {
+  return n != from && nodes_[n].up && nodes_[n].loaded && t_ >= nodes_[n].frozen_until &&
+         !cut(node_name(from), node_name(n));
+}
+
+void World::tell_cancelled(std::size_t n, const JobId& id) {
+  for (std::size_t m = 0; m < nodes_.size(); ++m) {
+    if (!takes_word(n, m)) continue;
+    nodes_[m].controller->told_cancelled(id);
+    nodes_[m].rung = true;
+  }
+}
+
+void World::load(std::size_t n) {
+  if (!state_reachable(n)) return;
+  NodeSim& node = nodes_[n];
+  auto& ledger = node.controller->ledger();
+  const auto read = [&](bool records) {
+    for (const auto& [key, k] : store_) {
+      if (key.starts_with(protocol::kFinals) || key.starts_with(protocol::kChunks) != records)
+        continue;
+      ledger.apply({key, k.value, base::Version(k.version)}, now());
+    }
+  };
+  if (node.records_at < 0) {
+    read(false);
+    node.load_from = revision_;
+    node.records_at = t_ + node.load_takes;
+  }
+  if (t_ < node.records_at) return;
+  read(true);
+  ledger.caught_up(base::Revision(node.load_from));
+  node.records_at = -1;
+  node.loaded = true;
+}
+
+void World::take_in(std::size_t n, double lag) {
+  NodeSim& node = nodes_[n];
+  auto& ledger = node.controller->ledger();
+  std::uint64_t upto = ledger.revision().get();
+  for (const Change& change : changes_) {
+    if (change.revision <= ledger.revision().get() || change.at + lag > t_) continue;
+    if (ledger.apply(change.item, now())) node.rung = true;
+    if (change.item.key == protocol::kViewKey || change.item.key == protocol::kLeadKey)
+      node.beat_now = true;
+    upto = std::max(upto, change.revision);
+  }
+  ledger.caught_up(base::Revision(upto));
+  node.controller->follow(now());
+}
+
+bool World::catch_up(std::size_t n) {
+  if (!nodes_[n].loaded || !state_reachable(n)) return false;
+  take_in(n, 0);
+  return true;
+}
+
+void World::refresh(std::size_t n, const std::vector<std::string>& keys) {
+  for (const auto& key : keys) {
+    if (key.compare(0, protocol::kJobs.size(), protocol::kJobs) != 0 &&
+        key.compare(0, protocol::kChunks.size(), protocol::kChunks) != 0) {
+      continue;
+    }
+    const auto got = get(n, key);
+    if (got.answered && got.item.version.get() != 0)
+      nodes_[n].controller->ledger().apply(got.item, now());
+  }
+}
+
+void World::beat(std::size_t n) {
+  NodeSim& node = nodes_[n];
+  const auto ttl = node.settings.tuning.member_ttl;
+  node.next_beat = t_ + ttl.count() / 4;
+  node.beat_now = false;
+  if (!state_reachable(n)) return;
+  if (!node.lease) {
+    leases_[++next_lease_] = {ttl.count(), t_ + ttl.count()};
+    node.lease = base::LeaseId(next_lease_);
+    const protocol::Life life{base::MemberId(node_name(n)), base::Incarnation(next_lease_)};
+    node.controller->begin_life(life, now());
+    const auto txn = node.controller->member_record(*node.lease);
+    const auto done = commit(n, txn);
+    if (done.outcome != Outcome::kDone) {
+      node.controller->end_life();
+      node.lease.reset();
+      return;
+    }
+    node.controller->ledger().apply(txn, done.revision, now());
+  }
+  const auto lease = leases_.find(node.lease->get());
+  if (lease == leases_.end()) {
+    node.lease.reset();
+    node.controller->end_life();
+    node.beat_now = true;
+    return;
+  }
+  node.controller->tell_time(now(), 1000 + t_);
+  lease->second.until = t_ + ttl.count();
+  node.controller->lease_taken(now());
+  if (catch_up(n)) node.controller->renewed(now());
+  if (const auto txn = node.controller->claim(now())) commit(n, *txn);
+  if (const auto txn = node.controller->tend_view(now(), *node.lease)) {
+    const auto done = commit(n, *txn);
+    if (done.outcome == Outcome::kDone) {
+      node.controller->ledger().apply(*txn, done.revision, now());
+      node.controller->follow(now());
+      node.beat_now = true;
+      node.rung = true;
+    }
+  }
+}
+
+void World::round(std::size_t n) {
+  NodeSim& node = nodes_[n];
+  auto& c = *node.controller;
+  node.rung = false;
+  node.next_round = t_ + node.settings.tuning.round_period.count();
+  const auto send = [&](std::vector<coordination::Order> orders) {
+    for (auto& o : orders) {
+      for (const Command& command : o.commands) {
+        if (command.op == Command::Op::kRun) check_command(n, command.task);
+      }
+      if (lose_orders_) continue;
+      if (t_ < hold_orders_until_) {
+        late_.push_back({hold_orders_until_, o.machine.get(), o, n});
+        continue;
+      }
+      if (cut(node_name(n), "workers") || cut(node_name(n), o.machine.get())) continue;
+      const auto w = workers_.find(o.machine.get());
+      if (w != workers_.end() && w->second.hung) {
+        late_.push_back({-1, o.machine.get(), o, n});
+        continue;
+      }
+      deliver(o, n);
+      if (repeat_orders_) late_.push_back({t_ + 20, o.machine.get(), o, n});
+    }
+  };
+  for (int i = 0; i < 6; ++i) {
+    c.follow(now());
+    auto routed = c.route(now());
+    for (auto& [member, offers] : routed) {
+      for (std::size_t m = 0; m < nodes_.size(); ++m) {
+        if (node_name(m) != member.get() || !nodes_[m].up ||
+            (m != n && cut(node_name(n), node_name(m))))
+          continue;
+        nodes_[m].controller->add_offers(offers, now());
+        nodes_[m].rung = true;
+      }
+    }
+    const auto plan = c.plan(now(), coordination::Pace::kNormal);
+    bool went = false;
+    if (!plan.empty()) {
+      const auto done = commit(n, plan.txn);
+      went = done.outcome == Outcome::kDone;
+      if (went) {
+        send(c.committed(plan, base::Version(done.revision.get()), now()));
+      } else if (done.outcome == Outcome::kConflict) {
+        refresh(n, done.failed);
+      } else if (done.outcome == Outcome::kUnknown) {
+        std::vector<std::string> keys;
+        for (const auto& w : plan.txn.writes) keys.push_back(w.key);
+        refresh(n, keys);
+      }
+    }
+    send(c.stops(now()));
+    if (plan.empty() || (went && !plan.more)) break;
+  }
+  for (const auto& txn : {c.finish_one(), c.sweep_orphans()}) {
+    if (!txn) continue;
+    const auto done = commit(n, *txn);
+    if (done.outcome == Outcome::kDone) {
+      c.ledger().apply(*txn, done.revision, now());
+      node.rung = true;
+    }
+  }
+}
+
+void World::fleet(std::size_t n) {
+  NodeSim& node = nodes_[n];
+  auto& c = *node.controller;
+  node.next_fleet = t_ + 1;
+  if (!c.leads(now())) return;
+  if (c.ledger().catalogue().empty()) {
+    Json types = Json::array();
+    for (const auto& [type, cores] : {std::pair("small", 4), std::pair("big", 8)}) {
+      types.push_back({{"sku", type},
+                       {"cores", cores},
+                       {"gpus", 0},
+                       {"memory_gb", cores * 4},
+                       {"price", cores * 0.1},
+                       {"market_price", cores * 0.04},
+                       {"ready_s", 5},
+                       {"fetch_gb_per_s", 1},
+                       {"cache_gb", 50},
+                       {"paddocks", {"a", "b"}}});
+    }
+    protocol::Transaction txn;
+    txn.writes.push_back({protocol::kCatalogueKey, Json{{"breeds", types}}, {}});
+    commit(n, txn);
+    return;
+  }
+  auto actions = c.plan_fleet(now(), 1000 + t_);
+  if (cloud_down_) return;
+  if (!actions.release.empty()) {
+    for (const auto& id : actions.release) {
+      workers_.erase(id.get());
+      ++releases_;
+    }
+    c.released(actions.release, now());
+    node.rung = true;
+  }
+  for (const auto& r : actions.plan.rent) {
+    const std::string hire = node_name(n) + "-" + std::to_string(c.self().life.get()) + "-" +
+                             std::to_string(++node.hires);
+    if (hires_.contains(hire)) broken("a rental's name is used twice: " + hire);
+    auto& got = hires_[hire];
+    const bool offered = !r.kind.spot || spot_offered_;
+    for (int i = 0; offered && i < r.count && capacity_[r.kind.type] > 0; ++i) {
+      --capacity_[r.kind.type];
+      const std::string id = "i-" + std::to_string(next_machine_++);
+      add_worker(id, r.kind.type, r.kind.zone, r.kind.spot, t_ + 5);
+      got.emplace_back(id);
+    }
+    if (static_cast<int>(got.size()) < r.count) c.refused(r.kind, now());
+    c.rented(r.kind, got, 1000 + t_);
+  }
+}
+
+void World::step_node(std::size_t n) {
+  NodeSim& node = nodes_[n];
+  if (!node.up) {
+    if (node.back_at >= 0 && t_ >= node.back_at) start_node(n);
+    return;
+  }
+  if (t_ < node.busy_until || t_ < node.frozen_until) return;
+  if (!node.loaded) load(n);
+  if (!node.loaded) return;
+  auto& c = *node.controller;
+  if (state_reachable(n)) {
+    const double lag = watch_lag_.contains(n) ? watch_lag_[n] : 0;
+    take_in(n, lag);
+  }
+  if (t_ >= node.next_beat || node.beat_now) beat(n);
+  if (t_ >= node.next_tell) {
+    node.next_tell = t_ + 0.7;
+    for (std::size_t m = 0; m < nodes_.size(); ++m) {
+      if (!takes_word(n, m)) continue;
+      const auto status = c.status(base::MemberId(node_name(m)), now());
+      const auto said = nodes_[m].controller->heard_status(status, now());
+      c.status_taken(base::MemberId(node_name(m)), said.again ? 0 : status.upto);
+      if (said.again) node.next_tell = t_;
+      c.sibling_reached(base::MemberId(node_name(m)), now());
+      c.machines_gone(said.gone, now());
+      c.close_idle(said.close);
+      c.drain(said.drain);
+    }
+  }
+  if (t_ >= node.next_round || node.rung) round(n);
+  if (t_ >= node.next_fleet) fleet(n);
+}
+
+}  // namespace saddleslip::testing
--- /dev/null
+++ b/tests/world_workers.cpp
@@ -0,0 +1,206 @@
+// The stand-ins for the machines and their workers.
+#include <algorithm>
+
+#include "world.h"
+#include "world_internal.h"
+
+namespace saddleslip::testing {
+
+namespace {
+
+constexpr double kPull = 0.5;      // seconds to fetch an image
+constexpr double kNoResponse = 4;  // a worker waits so long where nothing refuses its connection
+
+}  // namespace
+
+World::Worker& World::add_worker(const std::string& id, const std::string& type,
+                                 const std::string& zone, bool spot, double boots) {
+  Worker w;
+  w.id = id;
+  w.type = type;
+  w.zone = zone;
+  w.spot = spot;
+  w.boots = boots;
+  w.last_answered = boots;
+  w.next_report = boots;
+  return workers_[id] = w;
+}
+
+protocol::Report World::report_of(Worker& w) {
+  Json tasks = Json::array();
+  for (const auto& [id, attempts] : w.tasks) {
+    for (const Task& t : attempts) {
+      tasks.push_back({{"stride", id.job.get() + "/" + std::to_string(id.no)},
+                       {"remount", t.attempt},
+                       {"status", t.state},
+                       {"cause", t.cause}});
+    }
+  }
+  Json j = {{"mount", w.id},         {"endpoint", w.id + ":1"}, {"breed", w.type},
+            {"paddock", w.zone},     {"strays", w.spot},        {"ride", w.session},
+            {"tally", ++w.sequence}, {"reins", w.token},        {"strides", tasks}};
+  if (w.taken_at) j["recall_s"] = *w.taken_at - t_;
+  auto r = protocol::parse_report(j.dump());
+  if (!r) broken("the stand-in's report can't be parsed");
+  return *r;
+}
+
+void World::execute(Worker& w, const std::vector<Command>& commands) {
+  for (const Command& c : commands) {
+    auto& attempts = w.tasks[c.task];
+    const auto at = std::find_if(attempts.begin(), attempts.end(),
+                                 [&](const Task& t) { return t.attempt == c.attempt.get(); });
+    if (c.op == Command::Op::kRun) {
+      if (at != attempts.end()) continue;
+      Task t{c.attempt.get(), "pulling", "", t_ + kPull, 0};
+      const auto job = jobs_.find(c.task.job);
+      double used = 0;
+      for (const auto& [id, all] : w.tasks) {
+        const auto other = jobs_.find(id.job);
+        for (const Task& a : all) {
+          if (is_active(a.state) && other != jobs_.end()) used += other->second.spec.need.cores();
+        }
+      }
+      if (std::any_of(attempts.begin(), attempts.end(),
+                      [](const Task& a) { return is_active(a.state); })) {
+        t.state = "ended";
+        t.cause = "busy";
+      } else if (job == jobs_.end()) {
+        t.state = "ended";
+        t.cause = "unknown";
+      } else if (used + job->second.spec.need.cores() > cores_of(w.type) + 1e-6) {
+        t.state = "ended";
+        t.cause = "no_room";
+      }
+      attempts.push_back(t);
+    } else if (at != attempts.end()) {
+      if (c.op == Command::Op::kForget) {
+        if (at->state == "ended") attempts.erase(at);
+      } else if (is_active(at->state)) {
+        at->state = "ended";
+        at->cause = "halted";
+      }
+    }
+    if (attempts.empty()) w.tasks.erase(c.task);
+  }
+}
+
+void World::end_session(Worker& w) {
+  w.tasks.clear();
+  ++w.session;
+  w.last_answered = t_;
+}
+
+void World::report(Worker& w) {
+  w.next_report = t_ + report_s_;
+  const std::size_t n = w.node;
+  const auto next = [&] {
+    w.node = (w.node + 1) % nodes_.size();
+    w.next_report = t_ + 1.0;
+  };
+  if (!nodes_[n].up || !nodes_[n].loaded) return next();
+  if (w.mute || cut(node_name(n), "workers") || cut(node_name(n), w.id) ||
+      cut(node_name(n), w.zone) || t_ < nodes_[n].frozen_until) {
+    next();
+    if (silent_cuts_) w.next_report += kNoResponse;
+    return;
+  }
+  const auto rep = report_of(w);
+  if (w.copies_after >= 0) late_reports_.push_back({t_ + w.copies_after, rep});
+  const auto reply = nodes_[n].controller->hello(rep, now());
+  nodes_[n].rung = true;
+  if (w.deaf) {
+    next();
+    w.next_report += kNoResponse;
+    return;
+  }
+  const Json body = Json::parse(reply.body, nullptr, false);
+  if (reply.status == 421 && body.contains("trailboss")) {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (node_name(i) != body["trailboss"] || i == n) continue;
+      w.node = i;
+      w.next_report = t_ + 0.1;
+      return;
+    }
+  }
+  if (reply.status != 200) return next();
+  const auto token = body["reins"].get<std::uint64_t>();
+  if (token < w.token) return;
+  w.token = token;
+  w.last_answered = t_;
+  std::vector<Command> commands;
+  for (const Json& c : body["calls"]) {
+    const std::string stride = c["stride"];
+    const auto slash = stride.rfind('/');
+    Command cmd;
+    cmd.op = c["call"] == "run"    ? Command::Op::kRun
+             : c["call"] == "kill" ? Command::Op::kKill
+                                   : Command::Op::kForget;
+    cmd.task = {JobId(stride.substr(0, slash)),
+                static_cast<TaskNo>(std::stoul(stride.substr(slash + 1)))};
+    cmd.attempt = base::Attempt(c["remount"].get<std::uint64_t>());
+    if (cmd.op == Command::Op::kRun) check_command(n, cmd.task);
+    commands.push_back(cmd);
+  }
+  execute(w, commands);
+  if (!commands.empty()) w.next_report = std::min(w.next_report, t_ + 0.5);
+}
+
+void World::deliver(const coordination::Order& order, std::size_t from) {
+  const auto at = workers_.find(order.machine.get());
+  if (at == workers_.end() || !at->second.alive || at->second.hung || t_ < at->second.boots) return;
+  Worker& w = at->second;
+  if (w.deaf) return;
+  if (order.token.get() >= w.token && order.session.get() == w.session) {
+    w.token = order.token.get();
+    execute(w, order.commands);
+  }
+  const auto rep = report_of(w);
+  if (nodes_[from].up) nodes_[from].controller->order_answered(order.machine, rep, now());
+}
+
+void World::step_workers() {
+  for (auto& [id, w] : workers_) {
+    if (!w.alive || t_ < w.boots) continue;
+    if (w.taken_at && t_ >= *w.taken_at) {
+      w.alive = false;
+      w.tasks.clear();
+      continue;
+    }
+    // A hung machine may go on at any time within its lease, not after it.
+    if (t_ - w.last_answered > lease_s_) end_session(w);
+    if (w.hung) continue;
+    bool changed = false;
+    for (auto& [task, attempts] : w.tasks) {
+      for (Task& a : attempts) {
+        const auto job = jobs_.find(task.job);
+        if (a.state == "pulling" && t_ >= a.ready) {
+          // On its machine from here on.
+          check_start(w, task);
+          if (!job->second.began) {
+            job->second.began = t_;
+            job->second.waited = t_ - std::max(job->second.submitted, troubles_over_);
+          }
+          a.state = "running";
+          a.ends = t_ + job->second.fails_after.value_or(job->second.run);
+          if (w.sick) {
+            a.state = "ended";
+            a.cause = "error";
+          }
+          changed = true;
+        } else if (a.state == "running" && t_ >= a.ends &&
+                   job->second.spec.kind != protocol::Kind::kService) {
+          const bool failed = job->second.fails_after.has_value();
+          a.state = "ended";
+          a.cause = failed ? "error" : "done";
+          if (!failed) job->second.done.insert(task.no);
+          changed = true;
+        }
+      }
+    }
+    if (changed) w.next_report = std::min(w.next_report, t_ + 0.2);
+    if (t_ >= w.next_report) report(w);
+  }
+}
+
+}  // namespace saddleslip::testing
