Late machines are judged by what their kind has shown lately

A booting machine counted as room for twice its type's boot time and 10 s: where all were late, a second fleet was rented for the same work. BootTracker now waits for as long as the kind lately took, and while more of the type are late than have come up; one that is late alone is not counted on, as before. Machines that others of their kind outlasted are given up later.

--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -12,6 +12,7 @@
 
 #include "bookkeeping/ledger.h"
 #include "bookkeeping/machines.h"
+#include "coordination/boot_tracker.h"
 #include "coordination/failure_tracker.h"
 #include "coordination/fleet.h"
 #include "coordination/job_priorities.h"
@@ -293,8 +294,8 @@
   // The steps of the fleet's plan.
   std::vector<MachineId> releases_due(const Parts& known, Time now) const;
   FleetInput fleet_input(const Parts& known, Time now) const;
-  void drop_booted(FleetInput& in, double wall_now, std::vector<MachineId>& release);
-  double boot_time(const std::string& type_name) const;
+  void drop_booted(FleetInput& in, Time now, double wall_now, std::vector<MachineId>& release);
+  Seconds boot_time(const std::string& type_name) const;
   double soonest_boot() const;
   std::size_t within_limit(const protocol::JobSpec& spec, std::size_t waiting,
                            std::map<std::string, Resources>& team_room) const;
@@ -399,6 +400,7 @@
   std::map<MachineKind, Time> refused_;  // not to be asked for before then
   std::map<MachineKind, int> refusals_;  // in a row
   std::vector<protocol::Booting> booting_;
+  BootTracker boots_;
   std::map<MachineId, Time> unheard_;  // listed, but reporting to nobody, since
   std::set<MachineId> to_release_;     // what the leader itself found to be of no use
   struct Arrivals {
--- a/src/coordination/fleet_control.cpp
+++ b/src/coordination/fleet_control.cpp
@@ -15,16 +15,12 @@
 constexpr Seconds kDrainGap{3.0};     // between two machines to be emptied
 constexpr Seconds kRoomRemembered{60.0};  // of a part that is out of reach, for the fleet
 constexpr Seconds kArrivalWindow{120.0};
-// A booting machine is not counted on after so long, and given up after that: times its type's usual
-// boot time, and seconds more.
-constexpr double kOverdueFactor = 2, kOverdueExtra = 10;
-constexpr double kNeverUpFactor = 4, kNeverUpExtra = 20;
-constexpr double kAdoptFactor = 3;    // a machine rented by another life is counted on until then
-constexpr double kUnknownBoot = 30;   // seconds, of a type that the catalogue lacks
-constexpr double kLeastSpan = 30;     // seconds over which arrivals are counted
-constexpr Seconds kCountStarts{2.0};  // after the lead was taken
-constexpr double kBootMargin = 1.5;   // boots take up to so many times as long
-constexpr int kExpectedTier = 100;    // after all that waits already
+constexpr double kAdoptFactor = 3;     // a machine rented by another life is counted on until then
+constexpr Seconds kUnknownBoot{30.0};  // of a type that the catalogue lacks
+constexpr double kLeastSpan = 30;      // seconds over which arrivals are counted
+constexpr Seconds kCountStarts{2.0};   // after the lead was taken
+constexpr double kBootMargin = 1.5;    // boots take up to so many times as long
+constexpr int kExpectedTier = 100;     // after all that waits already
 
 }  // namespace
 
@@ -102,7 +98,7 @@
     return actions;
   }
   FleetInput in = fleet_input(known, now);
-  drop_booted(in, wall_now, actions.release);
+  drop_booted(in, now, wall_now, actions.release);
   add_waiting(in, now);
   add_expected_services(in, now);
   in.calm = base::between(std::max(restless_at_, led_since_), now) > kCalm &&
@@ -157,27 +153,39 @@
 
 // Forgets the booting machines that have come up, releases those that never do, and counts the others
 // as room while they are likely to come.
-void Controller::drop_booted(FleetInput& in, double wall_now, std::vector<MachineId>& release) {
+void Controller::drop_booted(FleetInput& in, Time now, double wall_now,
+                             std::vector<MachineId>& release) {
   std::set<MachineId> heard;
   for (const MachineRoom* m : in.machines) heard.insert(m->id);
   std::erase_if(booting_, [&](const protocol::Booting& b) {
-    if (heard.contains(b.id) || gone_.contains(b.id)) return true;
-    const double age = wall_now - b.rented;
-    if (age < boot_time(b.type) * kNeverUpFactor + kNeverUpExtra) return false;
-    spdlog::info("machine {} never came up ({:.0f} s): released", b.id.get(), age);
+    const MachineKind kind{b.type, b.zone, b.spot};
+    const Seconds age(wall_now - b.rented);
+    if (heard.contains(b.id)) {
+      boots_.record_up(kind, age, now);
+      return true;
+    }
+    if (gone_.contains(b.id)) return true;
+    if (!boots_.is_given_up(kind, age, boot_time(b.type), now)) return false;
+    spdlog::info("machine {} never came up ({:.0f} s): released", b.id.get(), age.count());
     release.push_back(b.id);
     to_release_.insert(b.id);
     return true;
   });
+  std::map<std::string, BootingCount> late;  // by type
+  for (const auto& b : booting_) {
+    if (BootTracker::is_overdue(Seconds(wall_now - b.rented), boot_time(b.type)))
+      ++late[b.type].overdue;
+  }
   for (const auto& b : booting_) {
-    if (wall_now - b.rented < boot_time(b.type) * kOverdueFactor + kOverdueExtra)
+    const MachineKind kind{b.type, b.zone, b.spot};
+    if (boots_.is_likely(kind, Seconds(wall_now - b.rented), boot_time(b.type), late[b.type], now))
       in.booting.push_back(b);
   }
 }
 
-double Controller::boot_time(const std::string& type_name) const {
+Seconds Controller::boot_time(const std::string& type_name) const {
   const auto* type = ledger_.type(type_name);
-  return type ? type->boot.count() : kUnknownBoot;
+  return type ? type->boot : kUnknownBoot;
 }
 
 double Controller::soonest_boot() const {
@@ -337,8 +345,7 @@
       unheard_.erase(c.id);
       continue;
     }
-    if (c.state == protocol::CloudState::kStarting &&
-        c.age.count() < boot_time(c.type) * kAdoptFactor) {
+    if (c.state == protocol::CloudState::kStarting && c.age < boot_time(c.type) * kAdoptFactor) {
       spdlog::info("machine {} ({}) is booting, rented by another life", c.id.get(), c.type);
       booting_.push_back({c.id, c.type, c.zone, c.spot, wall_now - c.age.count()});
       continue;
--- a/tests/world.h
+++ b/tests/world.h
@@ -10,6 +10,7 @@
 //   submit ID KIND tasks= cores= memory= run= rank= team= class= deadline= estimate= node= type= zone=
 //     spot one_zone spread fails= (each task fails after so long) | cancel ID | repeat N EVERY COMMAND (# in it: a number of its own)
 //   run SECONDS
+//   boots SECONDS|never (machines that are rented from now on)
 //   spot on|off (does the cloud have spot machines?)
 //   silent_cuts on|off (what is cut gives no error: a worker waits until its report times out)
 //   crash NODE [BACK_AFTER] | freeze NODE SECONDS | cut A B | mend A B (nodes, state, workers, a machine,
@@ -203,6 +204,7 @@
   std::set<std::pair<std::string, std::string>> cuts_;
   bool cloud_down_ = false;
   bool spot_offered_ = true;
+  double boots_after_ = 5;    // what is rented is up after so long
   bool silent_cuts_ = false;  // cut connections hang rather than being reset
   int next_machine_ = 1;
   int repeated_ = 0;
--- a/tests/world_commands.cpp
+++ b/tests/world_commands.cpp
@@ -65,6 +65,9 @@
     if (!state_down_) {
       for (auto& [id, l] : leases_) l.until = t_ + l.ttl;
     }
+  } else if (line.word() == "boots") {
+    const std::string after = line.text();
+    boots_after_ = after == "never" ? 1e9 : std::stod(after);
   } else if (line.word() == "spot") {
     spot_offered_ = line.text() == "on";
   } else if (line.word() == "silent_cuts") {
--- a/tests/world_controllers.cpp
+++ b/tests/world_controllers.cpp
@@ -261,7 +261,7 @@
     for (int i = 0; offered && i < r.count && capacity_[r.kind.type] > 0; ++i) {
       --capacity_[r.kind.type];
       const std::string id = "i-" + std::to_string(next_machine_++);
-      add_worker(id, r.kind.type, r.kind.zone, r.kind.spot, t_ + 5);
+      add_worker(id, r.kind.type, r.kind.zone, r.kind.spot, t_ + boots_after_);
       got.emplace_back(id);
     }
     if (static_cast<int>(got.size()) < r.count) c.refused(r.kind, now());
