--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -78,7 +78,7 @@
   Seconds cancel_within{45.0};
   // state service
   double state_rps = 200, state_write_rps = 60;
-  std::size_t value_bytes = 16 * 1024;
+  std::size_t value_bytes = 16u << 10;
   std::size_t txn_ops = 12;
   // cloud
   double cloud_rps = 2;
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -39,15 +39,18 @@
 }
 
 void Controller::lease_taken(Time sent) {
+  lease_until_ = std::max(lease_until_, ttl_after(sent));
+}
+
+Time Controller::ttl_after(Time sent) const {
   // Counted from when the call was sent, on a clock that may run slow against the store's. The full
   // time that an outage gives back to leases is not counted on.
-  lease_until_ =
-      std::max(lease_until_, base::after(sent, settings_.tuning.member_ttl * (1.0 - base::kDrift)));
+  return base::after(sent, settings_.tuning.member_ttl * (1.0 - base::kDrift));
 }
 
-void Controller::renewed(Time sent) {
-  lease_taken(sent);
-  authority_until_ = base::after(sent, settings_.tuning.member_ttl * (1.0 - base::kDrift));
+void Controller::renewed(Time sent, std::uint64_t copy) {
+  if (copy != copy_) return;
+  authority_until_ = ttl_after(sent);
   authority_view_ = ledger_.version(protocol::kViewKey);
 }
 
@@ -144,12 +147,12 @@
                has_member(*ledger_.view(), self_) ? "a member" : "not a member");
 }
 
-Transaction Controller::member_record(base::LeaseId lease) const {
+Transaction Controller::member_record(base::LeaseId lease, bool reaches_others) const {
   const std::string key = protocol::member_key(self_.member);
   Transaction txn;
   // Guarded: carried out late, it must not take the place of a later life's.
   txn.guards[key] = ledger_.version(key);
-  txn.writes.push_back({key, to_json(protocol::Member{self_, false}), lease});
+  txn.writes.push_back({key, to_json(protocol::Member{self_, reaches_others}), lease});
   return txn;
 }
 
@@ -160,7 +163,7 @@
   if (me == members.end() || me->second.life != self_) {
     // Lost to a write of an earlier life, carried out late, and to the end of that life's lease: without
     // its key this life would stay out of every view for good.
-    return member_record(lease);
+    return member_record(lease, false);
   }
   std::size_t others = 0, reached = 0;
   bool others_reach = false;  // does one of them say that it reaches somebody?
@@ -174,10 +177,7 @@
   Transaction txn;
   if (me->second.reaches != (reached > 0) &&
       (reached > 0 || base::between(alive_since_, now) > kReachable)) {
-    const std::string key = protocol::member_key(self_.member);
-    txn.guards[key] = ledger_.version(key);
-    txn.writes.push_back({key, to_json(protocol::Member{self_, reached > 0}), lease});
-    return txn;
+    return member_record(lease, reached > 0);
   }
   // A process that came back takes the place of its earlier life at once, leader or not: who owns
   // what stays the same, and workers' leases run on while it waits.
@@ -424,11 +424,12 @@
     if (h.session != m.last.session || m.evict.contains(task)) continue;
     const Job* job = ledger_.job(task.job);
     if (!job || job->cancelled()) continue;
+    const base::Attempt attempt = h.attempt;
     const auto reported = m.last.tasks.find(task);
     const bool known = reported != m.last.tasks.end() &&
                        std::any_of(reported->second.begin(), reported->second.end(),
-                                   [&](const auto& t) { return t.attempt == h.attempt; });
-    if (!known) out.push_back({Command::Op::kRun, task, h.attempt, {}});
+                                   [&](const auto& t) { return t.attempt == attempt; });
+    if (!known) out.push_back({Command::Op::kRun, task, attempt, {}});
   }
   return out;
 }
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -104,12 +104,17 @@
   // The lease of this life was taken by a call sent at `sent`.
   void lease_taken(Time sent);
   // The lease was renewed by a call sent at `sent`, and the ledger was proved current after that: it
-  // holds all that was committed before the call, cancellations and views.
-  void renewed(Time sent);
+  // holds all that was committed before the call, cancellations and views. `copy` is copy_number() as
+  // of before that proof: a copy that was read anew meanwhile was not proved current.
+  void renewed(Time sent, std::uint64_t copy);
+  std::uint64_t copy_number() const { return copy_; }
   void end_life();
   // The ledger was read anew, page by page: parts of it are older than what was proved before, so that
   // nothing may be commanded until a renewal has proved it current again.
-  void ledger_replaced() { authority_until_ = Time{}; }
+  void ledger_replaced() {
+    authority_until_ = Time{};
+    ++copy_;
+  }
   // May this process answer workers and give them orders now?
   bool entitled(Time now) const;
   bool has_lease(Time now) const { return now < lease_until_; }
@@ -117,7 +122,7 @@
   // After the ledger took in changes: follows a new view.
   void follow(Time now);
   // The key by which others know of this life.
-  Transaction member_record(base::LeaseId lease) const;
+  Transaction member_record(base::LeaseId lease, bool reaches_others) const;
   // What leadership asks for: to take it, or to write a new view. At most one transaction.
   std::optional<Transaction> tend_view(Time now, base::LeaseId lease);
 
@@ -198,6 +203,7 @@
     Time until{};
   };
 
+  Time ttl_after(Time sent) const;
   // As the view says. Asked for every machine in every round, and the same until the view changes.
   const Life* owner(const MachineId& machine) const;
   bool owns(const MachineId& machine) const;
@@ -273,6 +279,7 @@
   Seconds run_before_end(const RoundPlan::End& end) const;
   void learn_run_time(const RoundPlan::End& end);
   void housekeeping(Time now);
+  void move_service_away(Machine& m, const Parts& known, Time now);
   void count_arrivals(Time now);
   std::map<JobId, std::size_t> timely_share(Time now, double boot) const;
   // The steps of routing.
@@ -346,6 +353,7 @@
   Time lease_until_{};
   Time authority_until_{};
   Version authority_view_;
+  std::uint64_t copy_ = 0;  // counts the times that the ledger was read anew
   Version followed_view_;
   Token base_token_;
   Time followed_at_{};
--- a/src/coordination/record_batch.cpp
+++ b/src/coordination/record_batch.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxBytes = 48 * 1024;  // a transaction holds 64 KiB in all
+constexpr std::size_t kMaxBytes = 48u << 10;  // a transaction holds 64 KiB in all
 constexpr std::size_t kBytesOfRecord = 200;   // about; and for each task that is held:
 constexpr std::size_t kBytesOfHeld = 48;
 constexpr std::size_t kWritesOfFinish = 3;  // a job that leaves: its state, its record, its row
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -587,6 +587,36 @@
   return orders;
 }
 
+// Stops one service on a machine that is being emptied, if it finds room with its image elsewhere now.
+void Controller::move_service_away(Machine& m, const Parts& known, Time now) {
+  const MachineId& id = m.last.machine;
+  // One service at a time, and none that a user would still count as just started.
+  const bool moving = std::any_of(m.evict.begin(), m.evict.end(),
+                                  [&](const TaskId& t) { return ledger_.held_by(id).contains(t); });
+  if (moving) return;
+  for (const auto& [task, since] : m.ran) {
+    const Job* job = ledger_.job(task.job);
+    if (!job || job->record.spec.kind != Kind::kService || m.evict.contains(task) ||
+        base::between(since, now) < kSettled) {
+      continue;
+    }
+    // The leader's view of room is a second old: look again, or the service would wait for an
+    // image, or for room.
+    const auto& spec = job->record.spec;
+    const auto takes = [&](const MachineRoom* r) {
+      return r->open && r->id != id && r->tasks > 0 && r->free.fits(spec.need) &&
+             may_run(spec, r->type, r->zone, r->spot) && r->has_image(spec.image);
+    };
+    const bool fits = std::any_of(known.begin(), known.end(), [&](const auto& part) {
+      return std::any_of(part.second.begin(), part.second.end(), takes);
+    });
+    if (!fits) continue;
+    spdlog::info("{}/{} moves away from {}", task.job.get(), task.no, id.get());
+    m.evict.insert(task);
+    return;
+  }
+}
+
 void Controller::housekeeping(Time now) {
   const Seconds set = settings_.tuning.mute_release;
   const auto patience = [&](double reports, Seconds more) {
@@ -604,32 +634,7 @@
     m.give_back = m.closed && ledger_.held_by(id).empty() && !look(m).active;
     if (m.draining && fresh(m, now)) {
       if (!known) known = parts(now, kRoomToMove);
-      // One service at a time, and none that a user would still count as just started.
-      const bool moving = std::any_of(m.evict.begin(), m.evict.end(), [&](const TaskId& t) {
-        return ledger_.held_by(id).contains(t);
-      });
-      for (const auto& [task, since] : m.ran) {
-        const Job* job = ledger_.job(task.job);
-        if (moving || !job || job->record.spec.kind != Kind::kService || m.evict.contains(task) ||
-            base::between(since, now) < kSettled) {
-          continue;
-        }
-        // The leader's view of room is a second old: look again, or the service would wait for an
-        // image, or for room.
-        const auto& spec = job->record.spec;
-        const auto takes = [&](const MachineRoom* r) {
-          return r->open && r->id != id && r->tasks > 0 && r->free.fits(spec.need) &&
-                 may_run(spec, r->type, r->zone, r->spot) && r->has_image(spec.image);
-        };
-        if (std::none_of(known->begin(), known->end(), [&](const auto& part) {
-              return std::any_of(part.second.begin(), part.second.end(), takes);
-            })) {
-          continue;
-        }
-        spdlog::info("{}/{} moves away from {}", task.job.get(), task.no, id.get());
-        m.evict.insert(task);
-        break;
-      }
+      move_service_away(m, *known, now);
     }
     const bool overdue = m.taken_at && now > *m.taken_at;
     // While this node might not answer, workers went from node to node: that is no silence.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -20,7 +20,7 @@
   mallopt(M_TRIM_THRESHOLD, 256 * 1024);
   pthread_attr_t attr;
   pthread_attr_init(&attr);
-  pthread_attr_setstacksize(&attr, 192 * 1024);
+  pthread_attr_setstacksize(&attr, 192u << 10);
   pthread_setattr_default_np(&attr);
   pthread_attr_destroy(&attr);
 }
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -94,7 +94,7 @@
   most_asking_ = std::max(8, threads * 3 / 4);
   server_ = std::make_unique<transport::HttpServer>(
       settings_.listen,
-      transport::ServerLimits{most, threads, 64 * 1024, "/hello", std::max(1, most - most / 8)},
+      transport::ServerLimits{most, threads, 64u << 10, "/hello", std::max(1, most - most / 8)},
       [this](const Request& r) { return serve(r); });
   peer_server_ = std::make_unique<transport::HttpServer>(
       settings_.peer_listen,
@@ -128,18 +128,18 @@
 }
 
 Node::Reply Node::serve_user(const Request& req) {
-  static const std::string kSubmissions = "/submissions";
-  static const std::string kCancel = "/withdraw";
   const auto wrong_method = [] { return error(405, "wrong method"); };
-  if (req.path == kSubmissions) {
+  const std::string& submissions = protocol::kSubmissionsPath;
+  const std::string& cancel = protocol::kCancelSuffix;
+  if (req.path == submissions) {
     return req.method == "POST" ? users_.submit(req.body, now()) : wrong_method();
   }
-  if (req.path.compare(0, kSubmissions.size() + 1, kSubmissions + "/") == 0) {
-    std::string id = req.path.substr(kSubmissions.size() + 1);
+  if (req.path.compare(0, submissions.size() + 1, submissions + "/") == 0) {
+    std::string id = req.path.substr(submissions.size() + 1);
     const bool is_cancellation =
-        id.size() > kCancel.size() &&
-        id.compare(id.size() - kCancel.size(), std::string::npos, kCancel) == 0;
-    if (is_cancellation) id.resize(id.size() - kCancel.size());
+        id.size() > cancel.size() &&
+        id.compare(id.size() - cancel.size(), std::string::npos, cancel) == 0;
+    if (is_cancellation) id.resize(id.size() - cancel.size());
     if (!protocol::valid_job_id(id)) return error(404, "no such job");
     if (is_cancellation) {
       return req.method == "POST" ? users_.cancel(JobId(id), now()) : wrong_method();
@@ -301,7 +301,7 @@
       const protocol::Life life{settings_.member, base::Incarnation(lease->get())};
       const Transaction txn = locked([&](coordination::Controller& c) {
         c.begin_life(life, now());
-        return c.member_record(*lease);
+        return c.member_record(*lease, false);
       });
       const auto done = state_.commit(txn, kStateCall);
       if (done.outcome != Outcome::kDone) {
@@ -332,7 +332,8 @@
       // Authority to command needs more than the present view: a copy of the jobs that is as new as
       // the renewal. After an outage the renewal is answered before the watch has said anything, and
       // a job that was cancelled elsewhere meanwhile would be started again.
-      if (catch_up(timeout)) locked([&](coordination::Controller& c) { c.renewed(sent); });
+      const auto copy = locked([](coordination::Controller& c) { return c.copy_number(); });
+      if (catch_up(timeout)) locked([&](coordination::Controller& c) { c.renewed(sent, copy); });
     }
     const auto txn = locked([&](auto& c) { return c.tend_view(now(), *lease); });
     if (txn) {
--- a/src/node.h
+++ b/src/node.h
@@ -52,7 +52,7 @@
 
   // What one sibling is told: offers and cancellations at once, status regularly.
   struct Sibling {
-    explicit Sibling(base::Sibling s) : id(s.member), http(s.address, 2) {}
+    explicit Sibling(const base::Sibling& s) : id(s.member), http(s.address, 2) {}
     base::MemberId id;
     transport::HttpClient http;
     std::mutex mutex;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -89,10 +89,10 @@
 }  // namespace
 
 bool valid_job_id(const std::string& id) {
-  static const std::string prefix = "run-";
-  if (id.size() < prefix.size() + 6 || id.size() > prefix.size() + 20) return false;
-  return id.compare(0, prefix.size(), prefix) == 0 &&
-         std::all_of(id.begin() + static_cast<std::ptrdiff_t>(prefix.size()), id.end(),
+  static const std::string kPrefix = "run-";
+  if (id.size() < kPrefix.size() + 6 || id.size() > kPrefix.size() + 20) return false;
+  return id.compare(0, kPrefix.size(), kPrefix) == 0 &&
+         std::all_of(id.begin() + static_cast<std::ptrdiff_t>(kPrefix.size()), id.end(),
                      [](char c) { return c >= '0' && c <= '9'; });
 }
 
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -78,6 +78,11 @@
   std::optional<Seconds> deadline;
 };
 
+// Where users submit jobs; a job's own path is this, a slash and its id.
+inline const std::string kSubmissionsPath = "/submissions";
+// Behind a job's path: its cancellation.
+inline const std::string kCancelSuffix = "/withdraw";
+
 bool valid_job_id(const std::string& id);
 Json to_json(const JobSpec& spec);
 // The reason for a 400, or the job.
--- a/src/protocol/records.cpp
+++ b/src/protocol/records.cpp
@@ -208,13 +208,14 @@
   Json list = Json::array();
   std::size_t bytes = 2;
   // The latest first: the machine list shows the older ones.
-  for (auto b = fleet.rbegin(); b != fleet.rend(); ++b) {
-    const bool same = !list.empty() && list.back()[0] == b->type && list.back()[1] == b->zone &&
-                      list.back()[2] == b->spot && list.back()[3] == b->rented;
-    bytes += b->id.get().size() + 3 + (same ? 0 : b->type.size() + b->zone.size() + 48);
+  const std::vector<Booting> latest_first(fleet.rbegin(), fleet.rend());
+  for (const Booting& b : latest_first) {
+    const bool same = !list.empty() && list.back()[0] == b.type && list.back()[1] == b.zone &&
+                      list.back()[2] == b.spot && list.back()[3] == b.rented;
+    bytes += b.id.get().size() + 3 + (same ? 0 : b.type.size() + b.zone.size() + 48);
     if (bytes > most_bytes) break;
-    if (!same) list.push_back({b->type, b->zone, b->spot, b->rented, Json::array()});
-    list.back()[4].push_back(b->id.get());
+    if (!same) list.push_back({b.type, b.zone, b.spot, b.rented, Json::array()});
+    list.back()[4].push_back(b.id.get());
   }
   return list;
 }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -91,7 +91,7 @@
     set_exception_handler(
         [](const httplib::Request& req, httplib::Response& res, std::exception_ptr ep) {
           try {
-            std::rethrow_exception(ep);
+            std::rethrow_exception(std::move(ep));
           } catch (const std::exception& e) {
             spdlog::error("{} {} failed: {}", req.method, req.path, e.what());
           } catch (...) {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -20,7 +20,7 @@
 struct ServerLimits {
   int connections = 8;  // more are closed at once
   int threads = 8;      // requests served at the same time; started as they are needed
-  std::size_t max_body = 64 * 1024;
+  std::size_t max_body = 64u << 10;
   // Connections that ask for this path may not take all the others' places: what comes over this is
   // refused with 503 and closed.
   std::string bulk_path{};
--- a/src/transport/socket_stream.cpp
+++ b/src/transport/socket_stream.cpp
@@ -71,7 +71,7 @@
     }
   }
   out_.clear();
-  if (out_.capacity() > 16 * 1024) out_.shrink_to_fit();
+  if (out_.capacity() > 16u << 10) out_.shrink_to_fit();
   return !broken_;
 }
 
--- a/tests/authority_test.cpp
+++ b/tests/authority_test.cpp
@@ -34,22 +34,33 @@
   // A lease alone is not enough: the copy of the jobs may be older.
   controller_.lease_taken(start_);
   EXPECT_FALSE(controller_.entitled(start_));
-  controller_.renewed(start_);
+  controller_.renewed(start_, controller_.copy_number());
   EXPECT_TRUE(controller_.entitled(at(ttl * 0.99)));
   EXPECT_FALSE(controller_.entitled(at(ttl)));
   // Answered late: it counts from when it was sent, whenever that is known.
-  controller_.renewed(at(1));
+  controller_.renewed(at(1), controller_.copy_number());
   EXPECT_TRUE(controller_.entitled(at(ttl)));
   EXPECT_FALSE(controller_.entitled(at(ttl + 1)));
 }
 
 TEST_F(Authority, NeedsAProofAfterTheCopyWasReadAnew) {
-  controller_.renewed(start_);
+  controller_.renewed(start_, controller_.copy_number());
   EXPECT_TRUE(controller_.entitled(at(1)));
   controller_.ledger_replaced();
   EXPECT_FALSE(controller_.entitled(at(1)));
-  controller_.renewed(at(1.5));
+  controller_.renewed(at(1.5), controller_.copy_number());
   EXPECT_TRUE(controller_.entitled(at(2)));
 }
 
+// The copy may be read anew between the look that proved it current and the word of it: what was proved
+// is gone then.
+TEST_F(Authority, IsNotGivenToACopyThatWasReadAnewDuringTheProof) {
+  const std::uint64_t copy = controller_.copy_number();
+  controller_.ledger_replaced();
+  controller_.renewed(start_, copy);
+  EXPECT_FALSE(controller_.entitled(at(1)));
+  controller_.renewed(start_, controller_.copy_number());
+  EXPECT_TRUE(controller_.entitled(at(1)));
+}
+
 }  // namespace saddleslip::coordination
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -95,11 +95,13 @@
 // Hundreds of machines boot at once; the state service refuses a value over its limit, and did.
 TEST(Records, BootingMachinesFitTheirValue) {
   std::vector<protocol::Booting> fleet;
+  fleet.reserve(3000);
   for (int i = 0; i < 3000; ++i) {
-    fleet.push_back({MachineId("i-" + std::to_string(100000 + i)), i / 50 % 2 ? "small" : "big",
-                     "zone-" + std::to_string(i / 50 % 3), false, 1700000000.25 + i / 50});
+    const int rental = i / 50;
+    fleet.push_back({MachineId("i-" + std::to_string(100000 + i)), rental % 2 ? "small" : "big",
+                     "zone-" + std::to_string(rental % 3), false, 1700000000.25 + rental});
   }
-  const auto value = to_json(fleet, 16 * 1024);
+  const auto value = to_json(fleet, 16u << 10);
   EXPECT_LE(value.dump().size(), 16u * 1024);
   const auto kept = protocol::parse_fleet(value);
   ASSERT_FALSE(kept.empty());
@@ -107,7 +109,7 @@
   EXPECT_EQ(kept.front().id, fleet[fleet.size() - kept.size()].id);
   EXPECT_EQ(kept.front().rented, fleet[fleet.size() - kept.size()].rented);
   const std::vector<protocol::Booting> few(fleet.begin(), fleet.begin() + 400);
-  EXPECT_EQ(protocol::parse_fleet(to_json(few, 16 * 1024)).size(), 400u);
+  EXPECT_EQ(protocol::parse_fleet(to_json(few, 16u << 10)).size(), 400u);
 }
 
 // A node that loses its workers hands over all of them: one view carries hundreds, and fits its value.
@@ -119,14 +121,14 @@
     std::map<MachineId, protocol::Life> claims;
     for (int i = 0; i < n; ++i) claims[MachineId("i-" + std::to_string(100000 + i))] = b;
     const auto view = coordination::wanted_view(
-        members, {}, {}, claims, [](const MachineId&) { return false; }, 16 * 1024);
+        members, {}, {}, claims, [](const MachineId&) { return false; }, 16u << 10);
     ASSERT_TRUE(view);
     EXPECT_LE(to_json(*view).dump().size(), 16u * 1024);
     EXPECT_GE(view->pins.size(), 700u);
     EXPECT_EQ(protocol::parse_view(to_json(*view)), view);
     // What is gone leaves with the next view, and is no reason for one.
     const auto same = coordination::wanted_view(
-        members, view, {}, {}, [](const MachineId&) { return true; }, 16 * 1024);
+        members, view, {}, {}, [](const MachineId&) { return true; }, 16u << 10);
     EXPECT_FALSE(same);
   }
 }
--- a/tests/packing_test.cpp
+++ b/tests/packing_test.cpp
@@ -94,7 +94,7 @@
       int half = -1;
     };
     std::vector<Group> groups;
-    const auto rules = [&](std::vector<Group> of, std::shared_ptr<Rules> shared) {
+    const auto rules = [&](std::vector<Group> of, const std::shared_ptr<Rules>& shared) {
       for (Group& g : of) {
         g.allowed = [shared](std::size_t b) {
           return shared->budget > 0 &&
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -49,8 +49,8 @@
 TEST(Transport, RefusesLongBodiesAndPaths) {
   HttpServer server(kAny, {}, [](const Request&) { return Reply{200, "{}", 0}; });
   HttpClient client({"127.0.0.1", server.port()}, 1);
-  EXPECT_EQ(client.post("/a", std::string(64 * 1024, 'x'), base::Seconds(5)).status, 200);
-  EXPECT_EQ(client.post("/a", std::string(65 * 1024, 'x'), base::Seconds(5)).status, 400);
+  EXPECT_EQ(client.post("/a", std::string(64u << 10, 'x'), base::Seconds(5)).status, 200);
+  EXPECT_EQ(client.post("/a", std::string(65u << 10, 'x'), base::Seconds(5)).status, 400);
   // The unread body ends that connection, at a moment of the server's: another asks on.
   HttpClient next({"127.0.0.1", server.port()}, 1);
   EXPECT_EQ(next.get("/" + std::string(3000, 'x'), base::Seconds(5)).status, 404);
@@ -100,7 +100,7 @@
 
 // The bulk of the connections may not shut out the others, nor come over its own share.
 TEST(Transport, KeepsPlacesFromTheBulk) {
-  HttpServer server(kAny, {4, 2, 64 * 1024, "/bulk", 2}, [](const Request&) {
+  HttpServer server(kAny, {4, 2, 64u << 10, "/bulk", 2}, [](const Request&) {
     return Reply{200, "{}", 0};
   });
   const base::Address at{"127.0.0.1", server.port()};
--- a/tests/world_checks.cpp
+++ b/tests/world_checks.cpp
@@ -29,7 +29,7 @@
                                   [](const Task& a) { return is_active(a.state); });
       if (!on || t.job != task.job || !other.alive) continue;
       if (t == task && id != w.id)
-        broken("ran_twice: " + text + " starts on " + w.id + ", is on " + id);
+        broken(std::string("ran_twice: ").append(text) + " starts on " + w.id + ", is on " + id);
       if (t != task) ++zones[other.zone];
     }
   }
--- a/tests/world_controllers.cpp
+++ b/tests/world_controllers.cpp
@@ -121,7 +121,7 @@
     node.lease = base::LeaseId(next_lease_);
     const protocol::Life life{base::MemberId(node_name(n)), base::Incarnation(next_lease_)};
     node.controller->begin_life(life, now());
-    const auto txn = node.controller->member_record(*node.lease);
+    const auto txn = node.controller->member_record(*node.lease, false);
     const auto done = commit(n, txn);
     if (done.outcome != Outcome::kDone) {
       node.controller->end_life();
@@ -140,7 +140,8 @@
   node.controller->tell_time(now(), 1000 + t_);
   lease->second.until = t_ + ttl.count();
   node.controller->lease_taken(now());
-  if (catch_up(n)) node.controller->renewed(now());
+  const std::uint64_t copy = node.controller->copy_number();
+  if (catch_up(n)) node.controller->renewed(now(), copy);
   if (const auto txn = node.controller->claim(now())) commit(n, *txn);
   if (const auto txn = node.controller->tend_view(now(), *node.lease)) {
     const auto done = commit(n, *txn);
@@ -158,8 +159,8 @@
   auto& c = *node.controller;
   node.rung = false;
   node.next_round = t_ + node.settings.tuning.round_period.count();
-  const auto send = [&](std::vector<coordination::Order> orders) {
-    for (auto& o : orders) {
+  const auto send = [&](const std::vector<coordination::Order>& orders) {
+    for (const auto& o : orders) {
       for (const Command& command : o.commands) {
         if (command.op == Command::Op::kRun) check_command(n, command.task);
       }
