--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -11,12 +11,6 @@
 
 constexpr Seconds kGoneKept{600.0};  // late reports and old lists may still name the machine
 
-constexpr Seconds kStatusFresh{5.0};  // a sibling's room is relied on for this long
-constexpr Seconds kRefusedFor{8.0};   // a kind that was refused is left alone, doubling to 64 s
-constexpr Seconds kCalm{10.0};        // without a wait for room, before services are moved together
-constexpr Seconds kDrainGap{3.0};     // between two machines to be emptied
-constexpr Seconds kRoomRemembered{60.0};  // of a part that is out of reach, for the fleet
-constexpr Seconds kArrivalWindow{120.0};
 constexpr double kTokenAge = 0.5;  // of a lease: workers report a new token this often at most
 // A machine that hears no answer goes from node to node, and comes by within this.
 constexpr Seconds kDeafRound{20.0};
@@ -45,15 +39,18 @@
 }
 
 void Controller::lease_taken(Time sent) {
+  lease_until_ = std::max(lease_until_, ttl_after(sent));
+}
+
+Time Controller::ttl_after(Time sent) const {
   // Counted from when the call was sent, on a clock that may run slow against the store's. The full
   // time that an outage gives back to leases is not counted on.
-  lease_until_ =
-      std::max(lease_until_, base::after(sent, settings_.tuning.member_ttl * (1.0 - base::kDrift)));
+  return base::after(sent, settings_.tuning.member_ttl * (1.0 - base::kDrift));
 }
 
-void Controller::renewed(Time sent) {
-  lease_taken(sent);
-  authority_until_ = base::after(sent, settings_.tuning.member_ttl * (1.0 - base::kDrift));
+void Controller::renewed(Time sent, std::uint64_t copy) {
+  if (copy != copy_) return;
+  authority_until_ = ttl_after(sent);
   authority_view_ = ledger_.version(protocol::kViewKey);
 }
 
@@ -150,12 +147,12 @@
                has_member(*ledger_.view(), self_) ? "a member" : "not a member");
 }
 
-Transaction Controller::member_record(base::LeaseId lease) const {
+Transaction Controller::member_record(base::LeaseId lease, bool reaches_others) const {
   const std::string key = protocol::member_key(self_.member);
   Transaction txn;
   // Guarded: carried out late, it must not take the place of a later life's.
   txn.guards[key] = ledger_.version(key);
-  txn.writes.push_back({key, to_json(protocol::Member{self_, false}), lease});
+  txn.writes.push_back({key, to_json(protocol::Member{self_, reaches_others}), lease});
   return txn;
 }
 
@@ -166,7 +163,7 @@
   if (me == members.end() || me->second.life != self_) {
     // Lost to a write of an earlier life, carried out late, and to the end of that life's lease: without
     // its key this life would stay out of every view for good.
-    return member_record(lease);
+    return member_record(lease, false);
   }
   std::size_t others = 0, reached = 0;
   bool others_reach = false;  // does one of them say that it reaches somebody?
@@ -180,10 +177,7 @@
   Transaction txn;
   if (me->second.reaches != (reached > 0) &&
       (reached > 0 || base::between(alive_since_, now) > kReachable)) {
-    const std::string key = protocol::member_key(self_.member);
-    txn.guards[key] = ledger_.version(key);
-    txn.writes.push_back({key, to_json(protocol::Member{self_, reached > 0}), lease});
-    return txn;
+    return member_record(lease, reached > 0);
   }
   // A process that came back takes the place of its earlier life at once, leader or not: who owns
   // what stays the same, and workers' leases run on while it waits.
@@ -430,11 +424,12 @@
     if (h.session != m.last.session || m.evict.contains(task)) continue;
     const Job* job = ledger_.job(task.job);
     if (!job || job->cancelled()) continue;
+    const base::Attempt attempt = h.attempt;
     const auto reported = m.last.tasks.find(task);
     const bool known = reported != m.last.tasks.end() &&
                        std::any_of(reported->second.begin(), reported->second.end(),
-                                   [&](const auto& t) { return t.attempt == h.attempt; });
-    if (!known) out.push_back({Command::Op::kRun, task, h.attempt, {}});
+                                   [&](const auto& t) { return t.attempt == attempt; });
+    if (!known) out.push_back({Command::Op::kRun, task, attempt, {}});
   }
   return out;
 }
@@ -715,284 +710,4 @@
   return out;
 }
 
-// --- fleet
-
-void Controller::count_arrivals(Time now) {
-  for (const auto& [id, job] : ledger_.jobs()) {
-    if (job.record.spec.kind != protocol::Kind::kService || !counted_.insert(id).second) continue;
-    Arrivals& a = arrivals_[job.record.spec.job_class];
-    a.spec = job.record.spec;
-    a.recent.emplace_back(job.seen, job.record.spec.tasks);
-  }
-  std::erase_if(counted_, [&](const JobId& id) { return !ledger_.job(id); });
-  for (auto& [name, a] : arrivals_) {
-    while (!a.recent.empty() && base::between(a.recent.front().first, now) > kArrivalWindow) {
-      a.recent.pop_front();
-    }
-  }
-}
-
-// How many of each array's waiting tasks need room of their own now, so that all arrays are
-// complete when they are due. Those that may wait for others to end need no machines. In the order
-// in which the jobs are due: the work that is due by then, over the time until then, is the room
-// that all arrays together must have.
-std::map<JobId, std::size_t> Controller::timely_share(Time now, double boot) const {
-  std::vector<std::pair<double, const Job*>> jobs;
-  for (const auto& [id, job] : ledger_.jobs()) {
-    const auto& spec = job.record.spec;
-    if (spec.kind != protocol::Kind::kArray || !spec.deadline || job.cancelled() ||
-        job.done >= spec.tasks || is_suspect(id, now)) {
-      continue;
-    }
-    double by = priorities_.due(job, now);
-    // All tasks should have begun within what the objectives say, while that can still be.
-    if (const auto within = priorities_.start_within(spec)) {
-      const double last = job.record.submitted + within->count();
-      if (last > priorities_.time_of_day(now))
-        by = std::min(by, last + priorities_.run_time(spec).count());
-    }
-    jobs.emplace_back(by, &job);
-  }
-  std::stable_sort(jobs.begin(), jobs.end(),
-                   [](const auto& a, const auto& b) { return a.first < b.first; });
-  double work = 0, running = 0, needed = 0;
-  for (const auto& [by, job] : jobs) {
-    const auto& spec = job->record.spec;
-    const double each = priorities_.run_time(spec).count() * 1.2,
-                 cores = std::max(0.01, spec.need.cores());
-    const double left = by - priorities_.time_of_day(now) - boot * 1.5;
-    // Whole runs, one after the other.
-    const double waves = std::clamp(std::floor(left / (each * 1.3)), 1.0, 3.0);
-    work += (job->pending() + 0.6 * job->held) * each * cores;
-    running += job->held * cores;
-    needed = std::max(needed, work / (waves * each));
-  }
-  double more = std::max(0.0, needed - running);
-  std::map<JobId, std::size_t> share;
-  for (const auto& [by, job] : jobs) {
-    const double cores = std::max(0.01, job->record.spec.need.cores());
-    const double n = std::min(static_cast<double>(job->pending()), std::ceil(more / cores));
-    share[job->record.spec.id] = static_cast<std::size_t>(n);
-    more = std::max(0.0, more - n * cores);
-  }
-  return share;
-}
-
-Controller::FleetActions Controller::plan_fleet(Time now, double wall_now) {
-  FleetActions actions;
-  if (!leads(now) || !entitled(now) || ledger_.catalogue().empty()) return actions;
-  count_arrivals(now);
-  // What owners ask for now: one that was silent may have come back since it was last asked for.
-  std::set<MachineId> release = to_release_;
-  for (const MachineId& id : asked_back()) release.insert(id);
-  // A machine that is silent for its owner and reports elsewhere is well: it is the owner that is
-  // out of its reach.
-  const auto own_knocked = knocked(now);
-  std::set<MachineId> well(own_knocked.begin(), own_knocked.end());
-  for (const auto& [member, s] : siblings_) {
-    if (base::between(s.heard, now) > kStatusFresh || !has_member(*ledger_.view(), s.from)) {
-      continue;
-    }
-    release.insert(s.give_back.begin(), s.give_back.end());
-    well.insert(s.knocked.begin(), s.knocked.end());
-  }
-  const auto known = parts(now, kRoomRemembered);
-  // ... unless its owner hears it too, and is not heard: then it goes from node to node.
-  for (const auto& [member, rooms] : known) {
-    for (const MachineRoom* r : rooms) {
-      if (r->unsure) well.erase(r->id);
-    }
-  }
-  std::erase_if(release,
-                [&](const MachineId& id) { return gone_.contains(id) || well.contains(id); });
-  actions.release.assign(release.begin(), release.end());
-
-  FleetInput in;
-  in.now = now;
-  in.catalogue = &ledger_.catalogue();
-  in.refused = refused_;
-  in.idle_return = settings_.tuning.idle_return;
-  in.controller_zones = settings_.controller_zones;
-  in.spot_share = settings_.tuning.spot_share;
-  std::set<MachineId> heard;
-  std::map<MachineId, MemberId> part;
-  for (const auto& [member, rooms] : known) {
-    for (const MachineRoom* r : rooms) {
-      heard.insert(r->id);
-      part[r->id] = member;
-      in.machines.push_back(r);
-    }
-  }
-  // Renting while a part's machines are unknown would pay for them twice.
-  const Seconds settle = settings_.report_every * 2.0 + Seconds(1.0);
-  if (known.size() < ledger_.view()->members.size() ||
-      base::between(std::max(led_since_, followed_at_), now) < settle) {
-    return actions;
-  }
-
-  double soonest = 0;
-  for (const auto& t : ledger_.catalogue()) {
-    if (soonest == 0 || t.boot.count() < soonest) soonest = t.boot.count();
-  }
-  std::erase_if(booting_, [&](const protocol::Booting& b) {
-    if (heard.contains(b.id) || gone_.contains(b.id)) return true;
-    const auto* type = ledger_.type(b.type);
-    const double age = wall_now - b.rented, boot = type ? type->boot.count() : 30.0;
-    if (age < boot * 4 + 20) return false;
-    spdlog::info("machine {} never came up ({:.0f} s): released", b.id.get(), age);
-    actions.release.push_back(b.id);
-    to_release_.insert(b.id);
-    return true;
-  });
-  for (const auto& b : booting_) {
-    const auto* type = ledger_.type(b.type);
-    // One that is long overdue is not counted on.
-    if (type && wall_now - b.rented < type->boot.count() * 2 + 10) in.booting.push_back(b);
-  }
-
-  bool waiting = false;
-  std::map<JobId, std::size_t> share = timely_share(now, soonest);
-  std::map<std::string, Resources> team_room;
-  for (const auto& [id, job] : ledger_.jobs()) {
-    const auto& spec = job.record.spec;
-    std::size_t n = job.pending();
-    if (n == 0) continue;
-    if (is_suspect(id, now)) continue;
-    if (ledger_.limited(spec.team)) {
-      const base::Team& team = settings_.teams.at(spec.team);
-      auto [room, is_new] = team_room.try_emplace(spec.team);
-      if (is_new) {
-        room->second.v = {team.cores_max, team.gpus_max, 0};
-        room->second -= ledger_.team_use(spec.team);
-      }
-      if (team.cores_max > 0 && spec.need.cores() > 0) {
-        n = std::min(n, static_cast<std::size_t>(
-                            std::max(0.0, room->second.cores() / spec.need.cores() + 1e-9)));
-      }
-      room->second -= spec.need * static_cast<double>(n);
-    }
-    if (n == 0) continue;
-    if (spec.kind == protocol::Kind::kArray && spec.deadline) n = std::min(n, share[id]);
-    if (n == 0) continue;
-    Demand d;
-    d.need = spec.need;
-    d.count = n;
-    d.tier = priorities_.tier(job);
-    d.spec = &spec;
-    in.demand.push_back(d);
-    waiting = true;
-  }
-  for (const auto& [name, a] : arrivals_) {
-    double tasks = 0;
-    for (const auto& [at, n] : a.recent) {
-      // What was there at the start of this leader's count is not an arrival.
-      if (base::between(led_since_, at) > Seconds(2.0)) tasks += n;
-    }
-    const double span =
-        std::clamp(base::between(led_since_, now).count(), 30.0, kArrivalWindow.count());
-    Demand d;
-    d.need = a.spec.need;
-    d.count = static_cast<std::size_t>(
-        std::ceil(tasks / span * soonest * 1.5 * settings_.tuning.headroom));
-    d.tier = 100;
-    d.spec = &a.spec;
-    if (d.count > 0) in.demand.push_back(d);
-  }
-  if (waiting) restless_at_ = now;
-  in.calm = base::between(std::max(restless_at_, led_since_), now) > kCalm &&
-            base::between(drained_at_, now) > kDrainGap;
-  if (in.calm) {
-    for (const auto& [machine, tasks] : ledger_.held()) {
-      for (const auto& [task, held] : tasks) {
-        const Job* job = ledger_.job(task.job);
-        if (job && job->record.spec.kind == protocol::Kind::kService && !job->cancelled()) {
-          in.movable[machine].push_back(&job->record.spec);
-        }
-      }
-    }
-  }
-  actions.plan = coordination::plan_fleet(in);
-  if (!actions.plan.rent.empty()) restless_at_ = now;
-  for (const MachineId& id : actions.plan.drain) {
-    drained_at_ = now;
-    if (part[id] == self_.member) {
-      drain({id});
-    } else {
-      to_drain_[part[id]].insert(id);
-    }
-  }
-  for (const MachineId& id : actions.plan.close) {
-    if (part[id] == self_.member) {
-      close_idle({id});
-    } else {
-      to_close_[part[id]].insert(id);
-    }
-  }
-  return actions;
-}
-
-void Controller::refused(const MachineKind& kind, Time now) {
-  // Each call to the cloud is one less for what it does have, and for releases.
-  const int n = std::min(refusals_[kind]++, 3);
-  refused_[kind] = base::after(now, kRefusedFor * static_cast<double>(1 << n));
-}
-
-void Controller::rented(const MachineKind& kind, const std::vector<MachineId>& machines,
-                        double wall_now) {
-  for (const MachineId& id : machines) {
-    booting_.push_back({id, kind.type, kind.zone, kind.spot, wall_now});
-    refusals_.erase(kind);
-    zones_[id] = kind.zone;
-  }
-}
-
-std::optional<Transaction> Controller::fleet_record() const {
-  Transaction txn;
-  txn.guards[protocol::kLeadKey] = ledger_.version(protocol::kLeadKey);
-  txn.writes.push_back({protocol::kFleetKey, to_json(booting_, settings_.value_bytes - 1024), {}});
-  return txn;
-}
-
-void Controller::released(const std::vector<MachineId>& machines, Time now) {
-  for (const MachineId& id : machines) to_release_.erase(id);
-  machines_gone(machines, now);
-}
-
-void Controller::listed(const std::vector<protocol::CloudMachine>& machines, Time now,
-                        double wall_now) {
-  if (!leads(now)) return;
-  std::set<MachineId> heard, listed;
-  for (const auto& [member, rooms] : parts(now, kRoomRemembered)) {
-    for (const MachineRoom* r : rooms) heard.insert(r->id);
-  }
-  for (const auto& b : booting_) heard.insert(b.id);
-  for (const auto& c : machines) {
-    listed.insert(c.id);
-    if (gone_.contains(c.id)) continue;
-    zones_.try_emplace(c.id, c.zone);
-    if (c.state == protocol::CloudState::kFailed) {
-      to_release_.insert(c.id);
-      continue;
-    }
-    if (heard.contains(c.id)) {
-      unheard_.erase(c.id);
-      continue;
-    }
-    const auto* type = ledger_.type(c.type);
-    const double boot = type ? type->boot.count() : 30.0;
-    if (c.state == protocol::CloudState::kStarting && c.age.count() < boot * 3) {
-      spdlog::info("machine {} ({}) is booting, rented by another life", c.id.get(), c.type);
-      booting_.push_back({c.id, c.type, c.zone, c.spot, wall_now - c.age.count()});
-      continue;
-    }
-    const Time since = unheard_.try_emplace(c.id, now).first->second;
-    if (base::between(std::max(since, followed_at_), now) >
-        settings_.worker_lease * 2.0 + settings_.list_lag) {
-      spdlog::info("machine {} is listed but reports to nobody: released", c.id.get());
-      to_release_.insert(c.id);
-    }
-  }
-  std::erase_if(unheard_, [&](const auto& u) { return !listed.contains(u.first); });
-}
-
 }  // namespace saddleslip::coordination
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -12,9 +12,12 @@
 
 #include "bookkeeping/ledger.h"
 #include "bookkeeping/machines.h"
+#include "coordination/boot_tracker.h"
 #include "coordination/failure_tracker.h"
 #include "coordination/fleet.h"
 #include "coordination/job_priorities.h"
+#include "coordination/packing.h"
+#include "coordination/record_batch.h"
 #include "coordination/view.h"
 
 namespace saddleslip::coordination {
@@ -84,6 +87,9 @@
   bool again = false;            // the status builds upon one that this node doesn't have: tell all
 };
 
+// The machines of one member as seen by routing.
+struct Part;
+
 class Controller {
  public:
   explicit Controller(const base::Settings& settings);
@@ -98,12 +104,17 @@
   // The lease of this life was taken by a call sent at `sent`.
   void lease_taken(Time sent);
   // The lease was renewed by a call sent at `sent`, and the ledger was proved current after that: it
-  // holds all that was committed before the call, cancellations and views.
-  void renewed(Time sent);
+  // holds all that was committed before the call, cancellations and views. `copy` is copy_number() as
+  // of before that proof: a copy that was read anew meanwhile was not proved current.
+  void renewed(Time sent, std::uint64_t copy);
+  std::uint64_t copy_number() const { return copy_; }
   void end_life();
   // The ledger was read anew, page by page: parts of it are older than what was proved before, so that
   // nothing may be commanded until a renewal has proved it current again.
-  void ledger_replaced() { authority_until_ = Time{}; }
+  void ledger_replaced() {
+    authority_until_ = Time{};
+    ++copy_;
+  }
   // May this process answer workers and give them orders now?
   bool entitled(Time now) const;
   bool has_lease(Time now) const { return now < lease_until_; }
@@ -111,7 +122,7 @@
   // After the ledger took in changes: follows a new view.
   void follow(Time now);
   // The key by which others know of this life.
-  Transaction member_record(base::LeaseId lease) const;
+  Transaction member_record(base::LeaseId lease, bool reaches_others) const;
   // What leadership asks for: to take it, or to write a new view. At most one transaction.
   std::optional<Transaction> tend_view(Time now, base::LeaseId lease);
 
@@ -192,10 +203,10 @@
     Time until{};
   };
 
+  Time ttl_after(Time sent) const;
   // As the view says. Asked for every machine in every round, and the same until the view changes.
   const Life* owner(const MachineId& machine) const;
   bool owns(const MachineId& machine) const;
-  bool settled(const Job& job) const;
   // Does it report, and hear what it is answered?
   bool fresh(const Machine& m, Time now) const;
   bool heard_lately(const Machine& m, Time now) const;
@@ -225,6 +236,37 @@
                                                 const protocol::Held& held);
   // Has the machine reported the end of this attempt? Its room is free then, on record or not.
   static bool reported_over(const Machine& m, const TaskId& task, const protocol::Held& held);
+  // A job that was offered to this part, and which of its tasks wait here.
+  struct WaitingJob {
+    const Job* job;
+    std::vector<TaskNo> tasks;
+    std::map<std::string, TaskNo> zones;  // where its tasks are, for one_zone and spread
+    bool zones_known = true;
+  };
+  // The machines that take new tasks, with their bins for packing.
+  struct OpenMachines {
+    std::vector<Bin> bins;
+    std::vector<Machine*> machines;
+    Resources scale;
+  };
+  // The steps of a round's plan.
+  static void record_end(RoundPlan::End end, RecordBatch& batch, RoundPlan& plan);
+  // Records what must be on record now; returns the ends that can wait.
+  std::vector<RoundPlan::End> record_ends(std::vector<RoundPlan::End> ends, Pace pace, Time now,
+                                          RecordBatch& batch, RoundPlan& plan);
+  void record_late_ends(std::vector<RoundPlan::End> ends, Pace pace, Time now, RecordBatch& batch,
+                        RoundPlan& plan);
+  std::vector<WaitingJob> waiting_jobs(Pace pace, Time now, const RecordBatch& batch);
+  void find_zones(WaitingJob& w) const;
+  OpenMachines open_machines(Time now);
+  std::vector<int> order_by_due(const std::vector<WaitingJob>& waiting,
+                                const std::vector<Bin>& bins, Time now) const;
+  void place(std::vector<WaitingJob>& waiting, Time now, RoundPlan& plan);
+  bool may_start(const WaitingJob& w, const Report& r, const Resources& planned) const;
+  int preference(const protocol::JobSpec& spec, const Machine& m,
+                 std::optional<Seconds> start_within, bool displaces, Time now) const;
+  static void record_starts(RecordBatch& batch, RoundPlan& plan);
+  void make_room(const std::vector<WaitingJob>& waiting, const RoundPlan& plan, Time now);
   void collect_ends(Time now, std::vector<RoundPlan::End>& ends);
   bool can_wait(const RoundPlan::End& end, const std::set<TaskId>& ended, Time now);
   // Decides which jobs with failures are sound, and closes the machines that turn out to be faulty.
@@ -237,9 +279,60 @@
   Seconds run_before_end(const RoundPlan::End& end) const;
   void learn_run_time(const RoundPlan::End& end);
   void housekeeping(Time now);
+  void move_service_away(Machine& m, const Parts& known, Time now);
   void count_arrivals(Time now);
   std::map<JobId, std::size_t> timely_share(Time now, double boot) const;
+  // The steps of routing.
+  struct Routing;
+  bool is_offered(const TaskId& task, Time now) const;
+  void tidy_offers(Time now);
+  std::vector<const Job*> jobs_to_route(Time now) const;
+  void sort_by_turn(std::vector<const Job*>& jobs, Time now) const;
+  bool may_displace(const Job& job, Time now) const;
+  std::vector<Part> routing_parts(const std::vector<const Job*>& jobs, Time now);
+  void look_at_part(Routing& r, std::size_t part) const;
+  std::vector<TaskNo> tasks_to_offer(const Job& job, std::size_t most, Time now) const;
+  void offer(Routing& r, std::size_t part, std::size_t n);
+  void offer_array(Routing& r);
+  std::optional<std::size_t> best_part(const Routing& r) const;
+  void offer_to_roomiest(Routing& r);
+  void offer_to_displace(Routing& r);
+  void route_job(Routing& r, const Job& job);
+  // The steps of the fleet's plan.
+  std::vector<MachineId> releases_due(const Parts& known, Time now) const;
+  FleetInput fleet_input(const Parts& known, Time now) const;
+  void drop_booted(FleetInput& in, Time now, double wall_now, std::vector<MachineId>& release);
+  Seconds boot_time(const std::string& type_name) const;
+  double soonest_boot() const;
+  std::size_t within_limit(const protocol::JobSpec& spec, std::size_t waiting,
+                           std::map<std::string, Resources>& team_room) const;
+  void add_waiting(FleetInput& in, Time now);
+  void add_expected_services(FleetInput& in, Time now) const;
+  void add_movable_services(FleetInput& in) const;
+  void pass_on(const FleetPlan& plan, const Parts& known, Time now);
+  // A waiting job that may displace other work, and what was done for it and before it.
+  struct Preemption {
+    const Job* job;
+    double over_limit;                       // cores that its team must give up first
+    std::map<std::string, double> stopping;  // cores of each team that were told to stop
+    std::map<MachineId, Resources> taken;    // room that was made for the job
+  };
+  struct Victim {
+    TaskId task;
+    Resources need;
+    Seconds lost;
+  };
+  struct Sacrifice {
+    std::vector<TaskId> tasks;
+    double lost = 0;  // core seconds
+  };
   void preempt(const std::vector<std::pair<const Job*, std::size_t>>& waiting, Time now);
+  std::map<std::string, double> stopping_cores() const;
+  double over_team_limit(const protocol::JobSpec& spec) const;
+  bool may_stop(const Preemption& p, const Job& other) const;
+  std::vector<Victim> candidates(const Preemption& p, const Machine& m, Time now) const;
+  std::optional<Sacrifice> sacrifice_on(const Preemption& p, const Machine& m, Time now) const;
+  bool preempt_for_one(Preemption& p, Time now);
   // Has it waited so long that it goes before others? Then so many of its tasks do.
   std::optional<std::size_t> starved(const Job& job, Time now) const;
   void gather_room(const Job& job, Time now);
@@ -260,6 +353,7 @@
   Time lease_until_{};
   Time authority_until_{};
   Version authority_view_;
+  std::uint64_t copy_ = 0;  // counts the times that the ledger was read anew
   Version followed_view_;
   Token base_token_;
   Time followed_at_{};
@@ -314,6 +408,7 @@
   std::map<MachineKind, Time> refused_;  // not to be asked for before then
   std::map<MachineKind, int> refusals_;  // in a row
   std::vector<protocol::Booting> booting_;
+  BootTracker boots_;
   std::map<MachineId, Time> unheard_;  // listed, but reporting to nobody, since
   std::set<MachineId> to_release_;     // what the leader itself found to be of no use
   struct Arrivals {
--- a/src/coordination/job_priorities.cpp
+++ b/src/coordination/job_priorities.cpp
@@ -110,6 +110,16 @@
   return {};
 }
 
+bool JobPriorities::may_displace(const Job& job) const {
+  return is_urgent(job) || is_guaranteed(job);
+}
+
+bool JobPriorities::is_spare_time(const protocol::JobSpec& spec) const {
+  return spec.rank == Rank::kIdle && !spec.deadline &&
+         std::none_of(settings_.objectives.begin(), settings_.objectives.end(),
+                      [&](const base::Objective& o) { return o.job_class == spec.job_class; });
+}
+
 std::optional<std::size_t> JobPriorities::overdue_tasks(const Job& job, Time now) const {
   if (job.pending() == 0) return {};
   // What never began has waited since it was submitted, whichever process saw it.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -94,7 +94,7 @@
   most_asking_ = std::max(8, threads * 3 / 4);
   server_ = std::make_unique<transport::HttpServer>(
       settings_.listen,
-      transport::ServerLimits{most, threads, 64 * 1024, "/hello", std::max(1, most - most / 8)},
+      transport::ServerLimits{most, threads, 64u << 10, "/hello", std::max(1, most - most / 8)},
       [this](const Request& r) { return serve(r); });
   peer_server_ = std::make_unique<transport::HttpServer>(
       settings_.peer_listen,
@@ -128,18 +128,18 @@
 }
 
 Node::Reply Node::serve_user(const Request& req) {
-  static const std::string kSubmissions = "/submissions";
-  static const std::string kCancel = "/withdraw";
   const auto wrong_method = [] { return error(405, "wrong method"); };
-  if (req.path == kSubmissions) {
+  const std::string& submissions = protocol::kSubmissionsPath;
+  const std::string& cancel = protocol::kCancelSuffix;
+  if (req.path == submissions) {
     return req.method == "POST" ? users_.submit(req.body, now()) : wrong_method();
   }
-  if (req.path.compare(0, kSubmissions.size() + 1, kSubmissions + "/") == 0) {
-    std::string id = req.path.substr(kSubmissions.size() + 1);
+  if (req.path.compare(0, submissions.size() + 1, submissions + "/") == 0) {
+    std::string id = req.path.substr(submissions.size() + 1);
     const bool is_cancellation =
-        id.size() > kCancel.size() &&
-        id.compare(id.size() - kCancel.size(), std::string::npos, kCancel) == 0;
-    if (is_cancellation) id.resize(id.size() - kCancel.size());
+        id.size() > cancel.size() &&
+        id.compare(id.size() - cancel.size(), std::string::npos, cancel) == 0;
+    if (is_cancellation) id.resize(id.size() - cancel.size());
     if (!protocol::valid_job_id(id)) return error(404, "no such job");
     if (is_cancellation) {
       return req.method == "POST" ? users_.cancel(JobId(id), now()) : wrong_method();
@@ -301,7 +301,7 @@
       const protocol::Life life{settings_.member, base::Incarnation(lease->get())};
       const Transaction txn = locked([&](coordination::Controller& c) {
         c.begin_life(life, now());
-        return c.member_record(*lease);
+        return c.member_record(*lease, false);
       });
       const auto done = state_.commit(txn, kStateCall);
       if (done.outcome != Outcome::kDone) {
@@ -332,7 +332,8 @@
       // Authority to command needs more than the present view: a copy of the jobs that is as new as
       // the renewal. After an outage the renewal is answered before the watch has said anything, and
       // a job that was cancelled elsewhere meanwhile would be started again.
-      if (catch_up(timeout)) locked([&](coordination::Controller& c) { c.renewed(sent); });
+      const auto copy = locked([](coordination::Controller& c) { return c.copy_number(); });
+      if (catch_up(timeout)) locked([&](coordination::Controller& c) { c.renewed(sent, copy); });
     }
     const auto txn = locked([&](auto& c) { return c.tend_view(now(), *lease); });
     if (txn) {
@@ -660,110 +661,4 @@
   }
 }
 
-// --- fleet
-
-void Node::fleet() {
-  const Seconds gap(1.25 / settings_.cloud_rps);
-  Time last_list{}, last_catalogue{};
-  struct Hire {
-    std::string name;
-    coordination::MachineKind kind;
-    int count;
-  };
-  std::optional<Hire> open;  // sent, and not answered for certain
-  for (;;) {
-    fleet_bell_.wait(std::max(gap, Seconds(0.7)));
-    const Time t = now();
-    const auto [leads, life] =
-        locked([&](coordination::Controller& c) { return std::pair(c.leads(t), c.self()); });
-    if (!leads) {
-      open.reset();
-      continue;
-    }
-    if (last_catalogue == Time{} || base::between(last_catalogue, t) > Seconds(60.0)) {
-      if (const auto types = cloud_.catalogue(); types && !types->empty()) {
-        last_catalogue = t;
-        const Json value = to_json(*types);
-        const auto txn = locked([&](coordination::Controller& c) -> std::optional<Transaction> {
-          if (to_json(c.ledger().catalogue()) == value) return {};
-          Transaction x;
-          x.guards[protocol::kLeadKey] = c.ledger().version(protocol::kLeadKey);
-          x.writes.push_back({protocol::kCatalogueKey, value, {}});
-          return x;
-        });
-        if (txn && !commit(*txn, kStateCall)) last_catalogue = Time{};
-      }
-      pause(gap);
-    }
-    if (base::between(last_list, t) > std::max(Seconds(3.0), gap * 6.0)) {
-      last_list = t;
-      if (const auto list = cloud_.list()) {
-        locked([&](auto& c) { c.listed(*list, now(), base::wall_seconds()); });
-      }
-      pause(gap);
-    }
-    auto actions = locked([](auto& c) { return c.plan_fleet(now(), base::wall_seconds()); });
-    if (!actions.release.empty()) {
-      if (actions.release.size() > 100) actions.release.resize(100);
-      std::string names;
-      for (const auto& id : actions.release) names += " " + id.get();
-      if (cloud_.release(actions.release)) {
-        spdlog::info("released:{}", names);
-        locked([&](auto& c) { c.released(actions.release, now()); });
-        round_bell_.ring();
-      } else {
-        spdlog::warn("the cloud did not release:{}", names);
-      }
-      pause(gap);
-    }
-    std::deque<Hire> hires;
-    if (open) hires.push_back(*open);
-    for (const auto& r : actions.plan.rent) {
-      for (int left = r.count; left > 0; left -= protocol::kMostRented) {
-        // Never a name that any node or life has used: lives are numbered by the store.
-        hires.push_back({"r-" + life.member.get() + "-" + std::to_string(life.life.get()) + "-" +
-                             std::to_string(++hires_),
-                         r.kind, std::min(left, protocol::kMostRented)});
-      }
-    }
-    bool rented = false;
-    const bool was_open = open.has_value();
-    int calls = 0;
-    for (const Hire& h : hires) {
-      // Releases are proofs that tasks wait for: they come first, in the next turn.
-      if (++calls > 3) break;
-      if (!locked([](auto& c) { return c.leads(now()); })) break;
-      const auto r = cloud_.rent(h.name, h.kind.type, h.kind.zone, h.kind.spot, h.count);
-      using What = protocol::CloudClient::Rented::What;
-      open.reset();
-      if (r.what == What::kMachines) {
-        spdlog::info("rented {} of {} {} in {}{}", r.machines.size(), h.count, h.kind.type,
-                     h.kind.zone, h.kind.spot ? " (spot)" : "");
-        locked([&](coordination::Controller& c) {
-          c.rented(h.kind, r.machines, base::wall_seconds());
-          if (static_cast<int>(r.machines.size()) < h.count) c.refused(h.kind, now());
-        });
-        rented = true;
-      } else if (r.what == What::kNoCapacity) {
-        spdlog::info("no capacity for {} {} in {}{}", h.count, h.kind.type, h.kind.zone,
-                     h.kind.spot ? " (spot)" : "");
-        locked([&](auto& c) { c.refused(h.kind, now()); });
-      } else if (r.what == What::kUnknown) {
-        open = h;  // asked again under the same name: it rents nothing twice
-        break;
-      } else {
-        break;  // out of service or over the rate: planned anew next time
-      }
-      pause(gap);
-      // What was asked for before is not in this plan: plan anew before renting more.
-      if (was_open) break;
-    }
-    if (rented) {
-      if (const auto txn = locked([](auto& c) { return c.fleet_record(); })) {
-        commit(*txn, kStateCall);
-      }
-    }
-  }
-}
-
 }  // namespace saddleslip
--- a/tests/world.h
+++ b/tests/world.h
@@ -10,6 +10,8 @@
 //   submit ID KIND tasks= cores= memory= run= rank= team= class= deadline= estimate= node= type= zone=
 //     spot one_zone spread fails= (each task fails after so long) | cancel ID | repeat N EVERY COMMAND (# in it: a number of its own)
 //   run SECONDS
+//   boots SECONDS|never (machines that are rented from now on)
+//   spot on|off (does the cloud have spot machines?)
 //   silent_cuts on|off (what is cut gives no error: a worker waits until its report times out)
 //   crash NODE [BACK_AFTER] | freeze NODE SECONDS | cut A B | mend A B (nodes, state, workers, a machine,
 //     a zone) | state up|down | cloud up|down
@@ -43,6 +45,8 @@
 using protocol::Command;
 using protocol::Json;
 
+class CommandLine;
+
 class World {
  public:
   // Runs a scenario's text; returns what went wrong, line by line (empty: all as expected).
@@ -168,7 +172,15 @@
   void check_served(double after);
   bool troubled() const;
   void broken(const std::string& what);
-  void command(const std::string& line);
+  // The scenario language, by what a command is about. False: the word is none of these.
+  void command(const std::string& text);
+  bool set_up(CommandLine& line);
+  bool trouble_controllers(CommandLine& line);
+  bool trouble_machines(CommandLine& line);
+  bool use(CommandLine& line);
+  void submit_job(CommandLine& line);
+  bool expect_job(const std::string& what, CommandLine& line);
+  bool expect_fleet(const std::string& what, CommandLine& line);
   void step();
 
   std::map<std::string, Key> store_;
@@ -191,6 +203,8 @@
   bool repeat_orders_ = false;
   std::set<std::pair<std::string, std::string>> cuts_;
   bool cloud_down_ = false;
+  bool spot_offered_ = true;
+  double boots_after_ = 5;    // what is rented is up after so long
   bool silent_cuts_ = false;  // cut connections hang rather than being reset
   int next_machine_ = 1;
   int repeated_ = 0;
