A controller that stood still takes its machines neither for silent nor for lost

What a controller missed while it stood still is no silence now (noticed by a gap of 2.5 s in all that it does), and it says that it lost its workers only after 1 s of hearing hardly any.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr Seconds kStoodStill{2.5};  // without a report, a round or a status
 constexpr Seconds kGoneKept{600.0};  // late reports and old lists may still name the machine
 
 constexpr double kTokenAge = 0.5;  // of a lease: workers report a new token this often at most
@@ -248,7 +249,22 @@
 
 // --- workers
 
+void Controller::note_running(Time now) {
+  if (last_running_ != Time{} && base::between(last_running_, now) > kStoodStill) {
+    spdlog::warn("stood still for {:.1f} s", base::between(last_running_, now).count());
+    resumed_at_ = now;
+  }
+  last_running_ = std::max(last_running_, now);
+}
+
+// Since when this process could hear machines: while it might not answer, or stood still, they went from
+// node to node, and that is no silence.
+Time Controller::listening_since() const {
+  return entitled_since_ ? std::max(*entitled_since_, resumed_at_) : resumed_at_;
+}
+
 WorkerReply Controller::hello(const Report& report, Time now) {
+  note_running(now);
   if (!ledger_.view() || ledger_.view()->members.empty()) {
     return {503, protocol::error_body("no view yet")};
   }
@@ -614,6 +630,7 @@
 }
 
 MemberStatus Controller::status(const MemberId& to, Time now) {
+  note_running(now);
   MemberStatus s;
   s.from = self_;
   s.has_state = has_lease(now);
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -222,8 +222,19 @@
   void remember_bounced(const MachineId& machine, const Life& owner, Time now);
   // Machines that come back again and again: they reach this node, and not their owner.
   std::vector<MachineId> claims(Time now);
+  // Notices that this process stood still, its clock running on.
+  void note_running(Time now);
+  Time listening_since() const;
   // Does this controller hear the machines that it owns?
   protocol::WorkerContact worker_contact(Time now) const;
+  // Asked in each round: since when does it hear hardly any of them?
+  void watch_contact(Time now);
+  struct MachineCensus {
+    std::size_t owned = 0, overdue = 0;
+    bool are_lost() const;
+    bool are_heard() const;
+  };
+  MachineCensus count_overdue(Time now) const;
   bool is_overdue(const Machine& m, Time now) const;
   protocol::WorkerContact contact_of(const Life& member, Time now) const;
   std::vector<MachineId> unheard_of(const Life& member, Time now) const;
@@ -358,7 +369,9 @@
   Token base_token_;
   Time followed_at_{};
   std::optional<Time> entitled_since_;
+  Time last_running_{}, resumed_at_{};  // when this process was last seen to run, and went on
   std::optional<Time> many_mute_at_;
+  std::optional<Time> unheard_since_;  // while it hears hardly any of its machines
 
   mutable std::unordered_map<MachineId, std::size_t> owners_;  // by place in the view's members
   mutable Version owners_view_;
--- a/src/coordination/handover.cpp
+++ b/src/coordination/handover.cpp
@@ -14,6 +14,7 @@
 // Workers whose node does not answer need so long, and a report interval, to find another one.
 constexpr Seconds kWorkerRetry{6.0};
 constexpr double kLostIntervals = 2.0;    // without a report
+constexpr Seconds kLostFor{1.0};          // before a member says that it has lost its workers
 constexpr std::size_t kLeastOverdue = 2;  // one silent machine may be dead
 constexpr std::size_t kLostShare = 80;    // per cent of a member's machines that are overdue
 constexpr std::size_t kGoodShare = 20;  // ... at most, of a member that others' machines may go to
@@ -94,6 +95,33 @@
 protocol::WorkerContact Controller::worker_contact(Time now) const {
   // A node that may not answer sends machines away: it hears none of them for that reason.
   if (!entitled(now) || !entitled_since_) return protocol::WorkerContact::kUnknown;
+  const MachineCensus census = count_overdue(now);
+  if (census.are_lost()) {
+    const bool lasting = unheard_since_ && base::between(*unheard_since_, now) > kLostFor;
+    return lasting ? protocol::WorkerContact::kLost : protocol::WorkerContact::kUnknown;
+  }
+  return census.are_heard() ? protocol::WorkerContact::kGood : protocol::WorkerContact::kUnknown;
+}
+
+// A process that stood still for seconds finds all its machines overdue when it goes on, before it has
+// read what they sent meanwhile: only what lasts counts.
+void Controller::watch_contact(Time now) {
+  if (!count_overdue(now).are_lost()) {
+    unheard_since_.reset();
+  } else if (!unheard_since_) {
+    unheard_since_ = now;
+  }
+}
+
+bool Controller::MachineCensus::are_lost() const {
+  return overdue >= kLeastOverdue && overdue * 100 >= owned * kLostShare;
+}
+
+bool Controller::MachineCensus::are_heard() const {
+  return overdue < owned && overdue * 100 <= owned * kGoodShare;
+}
+
+Controller::MachineCensus Controller::count_overdue(Time now) const {
   std::size_t owned = machines_.size(), overdue = 0;
   for (const auto& [id, m] : machines_) {
     if (is_overdue(m, now)) ++overdue;
@@ -101,18 +129,14 @@
   for (const auto& [id, since] : owned_since_) {
     if (machines_.contains(id) || gone_.contains(id) || ledger_.held_by(id).empty()) continue;
     ++owned;
-    const Seconds missed = base::between(std::max(since, *entitled_since_), now);
+    const Seconds missed = base::between(std::max(since, listening_since()), now);
     if (missed > settings_.report_every + kWorkerRetry) ++overdue;
   }
-  if (overdue >= kLeastOverdue && overdue * 100 >= owned * kLostShare) {
-    return protocol::WorkerContact::kLost;
-  }
-  const bool good = overdue < owned && overdue * 100 <= owned * kGoodShare;
-  return good ? protocol::WorkerContact::kGood : protocol::WorkerContact::kUnknown;
+  return {owned, overdue};
 }
 
 bool Controller::is_overdue(const Machine& m, Time now) const {
-  const Time heard = entitled_since_ ? std::max(m.heard, *entitled_since_) : m.heard;
+  const Time heard = std::max(m.heard, listening_since());
   return base::between(heard, now) > settings_.report_every * kLostIntervals;
 }
 
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -246,9 +246,11 @@
 }
 
 RoundPlan Controller::plan(Time now, Pace pace) {
+  note_running(now);
   RoundPlan plan;
   if (!entitled(now)) {
     entitled_since_.reset();
+    unheard_since_.reset();
     return plan;
   }
   if (!entitled_since_) entitled_since_ = now;
@@ -638,12 +640,12 @@
     }
     const bool overdue = m.taken_at && now > *m.taken_at;
     // While this node might not answer, workers went from node to node: that is no silence.
-    const Time heard = std::max(m.heard, *entitled_since_);
+    const Time heard = std::max(m.heard, listening_since());
     const bool silent =
         base::between(heard, now) > (overdue ? settings_.report_every * 2.0 : quiet);
     // Reports that arrive while no answer does, or late copies of a dead machine's.
     const bool deaf =
-        m.deaf() && base::between(std::max(*m.deaf_since, *entitled_since_), now) > unanswered;
+        m.deaf() && base::between(std::max(*m.deaf_since, listening_since()), now) > unanswered;
     if (silent || deaf) mute.insert(id);
     if (silent || deaf ||
         base::between(heard, now) > settings_.report_every * bookkeeping::kOverdue)
@@ -654,7 +656,7 @@
     ++owned;
     const Time since = owned_since_.try_emplace(id, now).first->second;
     // Workers whose node is gone need a while to find their new one.
-    const Seconds missed = base::between(std::max(since, *entitled_since_), now);
+    const Seconds missed = base::between(std::max(since, listening_since()), now);
     const Seconds on_its_way = settings_.report_every + Seconds(6.0);
     if (missed > std::max(quiet, on_its_way)) mute.insert(id);
     if (missed > on_its_way) ++late;
@@ -681,6 +683,7 @@
   }
   mute_ = std::move(next);
   judge_failures(now);
+  watch_contact(now);
   std::erase_if(absent_, [&](const auto& a) { return !ledger_.job(a.first.job); });
 }
 
