--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -53,14 +53,29 @@
 
 const Json kNone = Json::object();
 
-const Json& section(const Json& at, const char* field) {
+const Json& section(const Json& at, const char* field, const std::string& where = "") {
   if (!at.contains(field) || at.at(field).is_null()) return kNone;
   if (!at.at(field).is_object()) {
-    throw BadSettings(std::string("settings: ") + field + " must be an object");
+    throw BadSettings("settings: " + where + field + " must be an object");
   }
   return at.at(field);
 }
 
+// The limits of the state service. Those that it will have later come without notice: the smaller ones
+// hold from the start, so that nothing is stored that could not be rewritten afterwards.
+void read_state_limits(Settings& settings, const Json& state) {
+  const std::string now = "settings.state.", later = "settings.state.next.";
+  const Json& next = section(state, "next", now);
+  const auto smaller = [&](const char* field, double otherwise, double least) {
+    const double present = number_or(state, field, otherwise, now, least);
+    return std::min(present, number_or(next, field, present, later, least));
+  };
+  settings.state_rps = smaller("rps", 200, 1);
+  settings.state_write_rps = smaller("write_rps", 60, 1);
+  settings.value_bytes = static_cast<std::size_t>(smaller("value_kb", 16, 1) * 1024);
+  settings.txn_ops = static_cast<std::size_t>(smaller("txn_ops", 12, 4));
+}
+
 std::string read_file(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
   if (!in) throw BadSettings("cannot read " + path);
@@ -153,12 +168,7 @@
   s.report_every = Seconds(number_or(workers, "report_s", 3.0, "settings.workers.", 0.05));
   s.worker_lease = Seconds(number_or(workers, "lease_s", 20.0, "settings.workers.", 0.5));
   s.cancel_within = Seconds(number_or(workers, "cancel_s", 45.0, "settings.workers."));
-  const Json& state = section(params, "state");
-  s.state_rps = number_or(state, "rps", 200, "settings.state.", 1);
-  s.state_write_rps = number_or(state, "write_rps", 60, "settings.state.", 1);
-  s.value_bytes =
-      static_cast<std::size_t>(number_or(state, "value_kb", 16, "settings.state.", 1) * 1024);
-  s.txn_ops = static_cast<std::size_t>(number_or(state, "txn_ops", 12, "settings.state.", 4));
+  read_state_limits(s, section(params, "state"));
   const Json& cloud = section(params, "cloud");
   s.cloud_rps = number_or(cloud, "rps", 2, "settings.cloud.", 0.01);
   s.list_lag = Seconds(number_or(cloud, "list_lag_s", 10, "settings.cloud."));
--- /dev/null
+++ b/src/bookkeeping/dependencies.cpp
@@ -0,0 +1,85 @@
+#include "bookkeeping/dependencies.h"
+
+#include <utility>
+
+namespace saddleslip::bookkeeping {
+
+namespace {
+
+const std::set<JobId> kNoJobs;
+
+void remove_edge(std::map<JobId, std::set<JobId>>& edges, const JobId& from, const JobId& to) {
+  const auto at = edges.find(from);
+  if (at == edges.end()) return;
+  at->second.erase(to);
+  if (at->second.empty()) edges.erase(at);
+}
+
+}  // namespace
+
+void Dependencies::add(const JobId& job, const std::vector<JobId>& needs) {
+  for (const JobId& need : needs) {
+    needs_of_[job].insert(need);
+    dependents_of_[need].insert(job);
+  }
+}
+
+void Dependencies::remove(const JobId& job) {
+  const auto at = needs_of_.find(job);
+  if (at == needs_of_.end()) return;
+  for (const JobId& need : at->second) remove_edge(dependents_of_, need, job);
+  needs_of_.erase(at);
+}
+
+std::set<JobId> Dependencies::mark_done(const JobId& need) {
+  const auto at = dependents_of_.find(need);
+  if (at == dependents_of_.end()) return {};
+  std::set<JobId> dependents = std::move(at->second);
+  dependents_of_.erase(at);
+  for (const JobId& job : dependents) remove_edge(needs_of_, job, need);
+  return dependents;
+}
+
+void Dependencies::clear() {
+  needs_of_.clear();
+  dependents_of_.clear();
+}
+
+const std::set<JobId>& Dependencies::open_needs(const JobId& job) const {
+  const auto at = needs_of_.find(job);
+  return at == needs_of_.end() ? kNoJobs : at->second;
+}
+
+const std::set<JobId>& Dependencies::dependents(const JobId& need) const {
+  const auto at = dependents_of_.find(need);
+  return at == dependents_of_.end() ? kNoJobs : at->second;
+}
+
+std::vector<JobId> Dependencies::all_dependents(const JobId& job) const {
+  return reachable(dependents_of_, job);
+}
+
+std::vector<JobId> Dependencies::all_open_needs(const JobId& job) const {
+  return reachable(needs_of_, job);
+}
+
+// Without recursion, and each job once: a chain may be long, and damaged data may hold a cycle.
+std::vector<JobId> Dependencies::reachable(const Edges& edges, const JobId& from) {
+  std::vector<JobId> found;
+  std::set<JobId> seen{from};
+  std::vector<JobId> open{from};
+  while (!open.empty()) {
+    const JobId next = open.back();
+    open.pop_back();
+    const auto at = edges.find(next);
+    if (at == edges.end()) continue;
+    for (const JobId& to : at->second) {
+      if (!seen.insert(to).second) continue;
+      found.push_back(to);
+      open.push_back(to);
+    }
+  }
+  return found;
+}
+
+}  // namespace saddleslip::bookkeeping
--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -116,6 +116,7 @@
     if (!item.value.is_null()) spdlog::error("job {} in the store can't be read", id.get());
     if (at == jobs_.end()) return;
     uncount(at->second);
+    dependencies_.remove(id);
     for (std::size_t c = 0; c < at->second.chunks.size(); ++c) {
       const std::string key = protocol::chunk_key(id, static_cast<std::uint32_t>(c));
       if (const auto v = versions_.find(key); v != versions_.end()) orphans_[key] = v->second;
@@ -128,6 +129,7 @@
     at->second.record = std::move(*record);
     at->second.version = item.version;
     stamp_holders(at->second);
+    if (at->second.record.cancelled) cancel_dependents(id);
     return;
   }
   Job job;
@@ -139,7 +141,62 @@
     job.chunks[c].record.done.assign(job.chunk_size(c), false);
     orphans_.erase(protocol::chunk_key(id, static_cast<std::uint32_t>(c)));
   }
-  job_index_[id] = &jobs_.emplace(id, std::move(job)).first->second;
+  Job& added = jobs_.emplace(id, std::move(job)).first->second;
+  job_index_[id] = &added;
+  link_needs(added);
+  if (added.cancelled_on_record()) cancel_dependents(id);
+}
+
+void Ledger::link_needs(Job& job) {
+  const JobId& id = job.record.spec.id;
+  std::vector<JobId> open;
+  for (const JobId& need : job.record.spec.needs) {
+    const auto over = final_state(need);
+    const Job* live = this->job(need);
+    job.need_cancelled = job.need_cancelled || (live && live->cancelled_on_record()) ||
+                         (over && over->status == JobStatus::kCancelled);
+    if (over && over->status == JobStatus::kDone) {
+      job.ready_at = std::max(job.ready_at, over->at);
+    } else {
+      open.push_back(need);
+    }
+  }
+  job.waits = !open.empty();
+  dependencies_.add(id, open);
+}
+
+void Ledger::cancel_dependents(const JobId& id) {
+  for (const JobId& dependent : dependencies_.all_dependents(id)) {
+    const auto at = jobs_.find(dependent);
+    if (at == jobs_.end() || at->second.need_cancelled) continue;
+    at->second.need_cancelled = true;
+    ++job_changes_;
+    stamp_holders(at->second);
+  }
+}
+
+void Ledger::count_ready(Job& job, double done_at) {
+  job.ready_at = std::max(job.ready_at, done_at);
+  if (!dependencies_.open_needs(job.record.spec.id).empty()) return;
+  job.waits = false;
+  ++job_changes_;
+  ++jobs_made_ready_;
+}
+
+std::vector<JobId> Ledger::unresolved_needs() const {
+  std::vector<JobId> out;
+  for (const auto& [need, dependents] : dependencies_.waited_for()) {
+    if (!job(need) && !final_state(need)) out.push_back(need);
+  }
+  return out;
+}
+
+std::vector<JobId> Ledger::unresolved_needs(const JobId& id) const {
+  std::vector<JobId> out;
+  for (const JobId& need : dependencies_.all_open_needs(id)) {
+    if (!job(need) && !final_state(need)) out.push_back(need);
+  }
+  return out;
 }
 
 void Ledger::told_cancelled(const JobId& id) {
@@ -212,6 +269,7 @@
   versions_.clear();
   removed_.clear();
   orphans_.clear();
+  dependencies_.clear();
   view_.reset();
   leader_.reset();
   members_.clear();
@@ -225,14 +283,22 @@
   return it == job_index_.end() ? nullptr : it->second;
 }
 
-std::optional<JobStatus> Ledger::final_state(const JobId& id) const {
+std::optional<FinalState> Ledger::final_state(const JobId& id) const {
   const auto it = finals_.find(id);
   if (it == finals_.end()) return {};
   return it->second;
 }
 
-void Ledger::remember_final(const JobId& id, JobStatus status) {
-  if (!finals_.emplace(id, status).second) return;
+void Ledger::remember_final(const JobId& id, const FinalState& state) {
+  if (!finals_.emplace(id, state).second) return;
+  if (state.status == JobStatus::kCancelled) {
+    cancel_dependents(id);
+  } else {
+    for (const JobId& dependent : dependencies_.mark_done(id)) {
+      if (const auto at = jobs_.find(dependent); at != jobs_.end())
+        count_ready(at->second, state.at);
+    }
+  }
   finals_order_.push_back(id);
   if (finals_order_.size() > kFinalsKept) {
     finals_.erase(finals_order_.front());
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/settings.h"
+#include "bookkeeping/dependencies.h"
 #include "protocol/records.h"
 
 namespace saddleslip::bookkeeping {
@@ -25,6 +26,7 @@
 using base::Time;
 using base::Version;
 using protocol::ChunkRecord;
+using protocol::FinalState;
 using protocol::Held;
 using protocol::Item;
 using protocol::JobRecord;
@@ -49,15 +51,28 @@
   Time moved{};  // when a task of it last began or ended, as far as this process saw
   // Another controller has told that its cancellation is committed; the copy does not show it yet.
   bool told_cancelled = false;
-
-  // Nothing of it is to run any more. What is put on record goes by the record alone.
-  bool cancelled() const { return record.cancelled || told_cancelled; }
+  // A job that it needs, directly or through others, is cancelled on record: so is this one, whatever
+  // its own record says.
+  bool need_cancelled = false;
+  // It waits for other jobs; nothing of it may start.
+  bool waits = false;
+  double ready_at =
+      0;  // when the last job that it needed was done, by the time of day; 0: not known
+
+  // Is its cancellation on record, its own or that of a job that it needs? What users are told and what
+  // is written goes by this.
+  bool cancelled_on_record() const { return record.cancelled || need_cancelled; }
+  // Nothing of it is to run any more.
+  bool cancelled() const { return cancelled_on_record() || told_cancelled; }
+  // Since when its tasks could have started, by the time of day.
+  double startable_since() const { return std::max(record.submitted, ready_at); }
 
   TaskNo chunk_first(std::size_t c) const { return static_cast<TaskNo>(c) * record.chunk; }
   TaskNo chunk_size(std::size_t c) const {
     return std::min(record.chunk, record.spec.tasks - chunk_first(c));
   }
-  TaskNo pending() const { return cancelled() ? 0 : record.spec.tasks - done - held; }
+  // Tasks that could start now.
+  TaskNo pending() const { return cancelled() || waits ? 0 : record.spec.tasks - done - held; }
   bool is_done(TaskNo no) const {
     const auto& c = chunks[record.chunk_of(no)];
     return c.record.done[no % record.chunk];
@@ -88,13 +103,22 @@
 
   const std::map<JobId, Job>& jobs() const { return jobs_; }
   const Job* job(const JobId& id) const;
-  std::optional<JobStatus> final_state(const JobId& id) const;
+  std::optional<FinalState> final_state(const JobId& id) const;
   // Has the watch brought all that came before the job's record as it is known here? A cancellation
   // read ahead of it may be known while a start before it is not.
   bool is_settled(const Job& job) const {
     return !job.record.cancelled || revision_.get() >= job.version.get();
   }
-  void remember_final(const JobId& id, JobStatus status);
+  void remember_final(const JobId& id, const FinalState& state);
+
+  const Dependencies& dependencies() const { return dependencies_; }
+  // Counts jobs that had waited for others and wait no more.
+  std::uint64_t jobs_made_ready() const { return jobs_made_ready_; }
+  // Jobs that others wait for, and of which this copy knows neither a record nor a final state: the final
+  // state, which may have been written long ago, is to be read from the store. For one job: those
+  // that it depends on, through any number of steps.
+  std::vector<JobId> unresolved_needs() const;
+  std::vector<JobId> unresolved_needs(const JobId& job) const;
 
   const std::map<TaskId, Held>& held_by(const MachineId& machine) const;
   const std::map<MachineId, std::map<TaskId, Held>>& held() const { return by_machine_; }
@@ -118,6 +142,12 @@
 
  private:
   void put_job(const Item& item, Time now);
+  // Relates a job that is new here to those that it needs.
+  void link_needs(Job& job);
+  // The job is cancelled on record: so is all that depends on it.
+  void cancel_dependents(const JobId& id);
+  // That job was done at that time of day: one that needs it may start once it was the last.
+  void count_ready(Job& job, double done_at);
   void put_chunk(const Item& item, Time now);
   // Takes a task's holder out of the books, or puts it in.
   void count(const Job& job, TaskNo no, const Held& held, int sign);
@@ -134,8 +164,10 @@
   std::unordered_map<std::string, Version> versions_;  // of keys that exist
   std::unordered_map<std::string, Version> removed_;   // removals ahead of the watch
   std::map<std::string, Version> orphans_;             // chunks whose job is over
-  std::unordered_map<JobId, JobStatus> finals_;        // bounded: the latest ones
+  std::unordered_map<JobId, FinalState> finals_;       // bounded: the latest ones
   std::deque<JobId> finals_order_;
+  Dependencies dependencies_;
+  std::uint64_t jobs_made_ready_ = 0;
   std::optional<View> view_;
   std::optional<Life> leader_;
   std::map<MemberId, protocol::Member> members_;
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -544,7 +544,8 @@
         o.over.push_back({task, "never started", false});
       }
       o.free -= spec.need;
-      if (spec.rank >= protocol::Rank::kStandard && !m.evict.contains(task)) o.lower += spec.need;
+      if (priorities_.rank(*job) >= protocol::Rank::kStandard && !m.evict.contains(task))
+        o.lower += spec.need;
     }
   }
   bool strange = false;
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -160,7 +160,7 @@
   std::vector<Order> committed(const RoundPlan& plan, Version version, Time now);
   // Stops for tasks that are to go, to be sent at once rather than with the next report's answer.
   std::vector<Order> stops(Time now);
-  std::optional<Transaction> finish_one();
+  std::optional<Transaction> finish_one(Time now);
   std::optional<Transaction> sweep_orphans();
 
   // --- siblings
@@ -265,6 +265,8 @@
   // Records what must be on record now; returns the ends that can wait.
   std::vector<RoundPlan::End> record_ends(std::vector<RoundPlan::End> ends, Pace pace, Time now,
                                           RecordBatch& batch, RoundPlan& plan);
+  std::set<TaskId> settle_large_records(std::vector<RoundPlan::End>& ends,
+                                        const RecordBatch& batch) const;
   void record_late_ends(std::vector<RoundPlan::End> ends, Pace pace, Time now, RecordBatch& batch,
                         RoundPlan& plan);
   std::vector<WaitingJob> waiting_jobs(Pace pace, Time now, const RecordBatch& batch);
--- a/src/coordination/fleet_control.cpp
+++ b/src/coordination/fleet_control.cpp
@@ -54,7 +54,7 @@
     double by = priorities_.due(job, now);
     // All tasks should have begun within what the objectives say, while that can still be.
     if (const auto within = priorities_.start_within(spec)) {
-      const double last = job.record.submitted + within->count();
+      const double last = job.startable_since() + within->count();
       if (last > priorities_.time_of_day(now))
         by = std::min(by, last + priorities_.run_time(spec).count());
     }
@@ -230,7 +230,7 @@
     d.count = n;
     d.tier = priorities_.tier(job);
     d.spec = &spec;
-    d.spot_only = priorities_.is_spare_time(spec);
+    d.spot_only = priorities_.is_spare_time(job);
     in.demand.push_back(d);
     if (d.spot_only && starved(job, now)) {
       // It has waited too long for what others leave over: one task, wherever it may run.
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -31,15 +31,17 @@
   return {};
 }
 
-Transaction acceptance(const protocol::JobSpec& spec, double wall_now, std::size_t parts) {
+Transaction acceptance(const protocol::JobSpec& spec, const AcceptanceContext& context) {
+  protocol::JobRecord record;
+  record.spec = spec;
+  record.submitted = context.time_of_day;
+  record.cancelled = context.need_cancelled;
+  record.chunk = protocol::chunk_size(spec.tasks, context.parts, context.value_bytes);
   Transaction txn;
   // Neither live nor over: an id is accepted once, whichever nodes its retries reach.
   txn.guards[protocol::job_key(spec.id)] = base::Version(0);
   txn.guards[protocol::final_key(spec.id)] = base::Version(0);
-  txn.writes.push_back(
-      {protocol::job_key(spec.id),
-       to_json(protocol::JobRecord{spec, wall_now, false, protocol::chunk_size(spec.tasks, parts)}),
-       {}});
+  txn.writes.push_back({protocol::job_key(spec.id), to_json(record), {}});
   return txn;
 }
 
@@ -53,33 +55,45 @@
   return txn;
 }
 
-std::optional<Transaction> finish(const bookkeeping::Job& job, std::size_t txn_ops) {
-  const auto& spec = job.record.spec;
-  const bool all_done = job.done == spec.tasks;
+bool may_finish(const bookkeeping::Job& job) {
   // A cancelled job stays until nothing of it is on a machine: its tasks count for the team.
-  if (job.held > 0 || (!all_done && !job.record.cancelled)) return {};
+  if (job.held > 0) return false;
+  return job.cancelled_on_record() || job.done == job.record.spec.tasks;
+}
+
+std::optional<Transaction> finish(const bookkeeping::Job& job, std::size_t txn_ops,
+                                  double time_of_day) {
+  if (!may_finish(job)) return {};
   Transaction txn;
-  add_finish(txn, job, txn_ops);
+  add_finish(txn, job, time_of_day);
+  guard_task_records(txn, job, txn_ops);
   return txn;
 }
 
-void add_finish(Transaction& txn, const bookkeeping::Job& job, std::size_t txn_ops) {
+void add_finish(Transaction& txn, const bookkeeping::Job& job, double time_of_day) {
   const auto& spec = job.record.spec;
   // A cancellation between the last end and here wins: users were told so.
   txn.guards[protocol::job_key(spec.id)] = job.version;
-  const auto state =
-      job.record.cancelled ? protocol::JobStatus::kCancelled : protocol::JobStatus::kDone;
-  txn.writes.push_back({protocol::final_key(spec.id), protocol::final_record(state), {}});
+  protocol::FinalState state;
+  state.status =
+      job.cancelled_on_record() ? protocol::JobStatus::kCancelled : protocol::JobStatus::kDone;
+  state.at = time_of_day;
+  txn.writes.push_back({protocol::final_key(spec.id), to_json(state), {}});
   txn.writes.push_back({protocol::job_key(spec.id), {}, {}});
   if (job.chunks.size() > 1 && (spec.one_zone || spec.spread)) {
     txn.writes.push_back({protocol::row_key(spec.id), {}, {}});
   }
-  // Its tasks' records go later, as orphans, when there are writes to spare: under load a third of
-  // all writes were these. What is read here must hold still.
+}
+
+// The records themselves go later, as orphans, when there are writes to spare: under load a third of all
+// writes were these. What is read here must hold still; what the conditions have no room for does so
+// anyway, since a task that is done stays done, and nothing starts but under the job's version.
+void guard_task_records(Transaction& txn, const bookkeeping::Job& job, std::size_t txn_ops) {
+  const auto& id = job.record.spec.id;
   for (std::size_t c = 0; c < job.chunks.size(); ++c) {
-    if (txn.guards.size() + 1 >= txn_ops * 4) break;  // conditions that the store takes
+    if (txn.guards.size() >= txn_ops * protocol::kGuardsPerWrite) return;
     if (job.chunks[c].version.get() == 0) continue;
-    txn.guards[protocol::chunk_key(spec.id, static_cast<std::uint32_t>(c))] = job.chunks[c].version;
+    txn.guards[protocol::chunk_key(id, static_cast<std::uint32_t>(c))] = job.chunks[c].version;
   }
 }
 
--- a/src/coordination/intake.h
+++ b/src/coordination/intake.h
@@ -12,13 +12,25 @@
 std::optional<std::string> never_runs(const protocol::JobSpec& spec, const base::Settings& settings,
                                       const std::vector<protocol::MachineType>& catalogue);
 
-// `parts`: among how many controllers the machines are parted.
-protocol::Transaction acceptance(const protocol::JobSpec& spec, double wall_now, std::size_t parts);
+// What the acceptance of a job depends on, besides what its user asks.
+struct AcceptanceContext {
+  double time_of_day = 0;
+  std::size_t parts = 1;        // among how many controllers the machines are parted
+  std::size_t value_bytes = 0;  // the most that a value of the store holds
+  bool need_cancelled = false;  // a job that it needs is cancelled, and so is this one
+};
+protocol::Transaction acceptance(const protocol::JobSpec& spec, const AcceptanceContext& context);
 protocol::Transaction cancellation(const protocol::JobRecord& job, base::Version version);
 
 // Adds what moves a job that is over out of the way.
-void add_finish(protocol::Transaction& txn, const bookkeeping::Job& job, std::size_t txn_ops);
+void add_finish(protocol::Transaction& txn, const bookkeeping::Job& job, double time_of_day);
+// Adds conditions that the job's tasks' records are as known here, as far as the transaction holds them.
+void guard_task_records(protocol::Transaction& txn, const bookkeeping::Job& job,
+                        std::size_t txn_ops);
+// Is the job over, and nothing of it on a machine? Then it may leave.
+bool may_finish(const bookkeeping::Job& job);
 // A job that is over, moved out of the way: its record becomes small and final. None if it isn't.
-std::optional<protocol::Transaction> finish(const bookkeeping::Job& job, std::size_t txn_ops);
+std::optional<protocol::Transaction> finish(const bookkeeping::Job& job, std::size_t txn_ops,
+                                            double time_of_day);
 
 }  // namespace saddleslip::coordination
--- a/src/coordination/job_priorities.cpp
+++ b/src/coordination/job_priorities.cpp
@@ -1,6 +1,7 @@
 #include "coordination/job_priorities.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace saddleslip::coordination {
 
@@ -12,7 +13,7 @@
 
 namespace {
 
-constexpr Seconds kGuaranteesFresh{0.5};  // others' progress makes room, which can wait a moment
+constexpr Seconds kUpdateEvery{0.5};      // others' progress makes room, which can wait a moment
 constexpr std::size_t kOverdueShare = 4;  // so large a part of an overdue job's tasks goes first
 constexpr double kNoDeadline = 1e15;      // due after everything with a deadline
 constexpr double kDeadlineLost = 1e14;    // due after all that can still be in time
@@ -20,6 +21,8 @@
 constexpr double kLearningRate = 0.05;    // of run times, by class
 constexpr double kLeastRatio = 0.2, kMostRatio = 5.0;
 constexpr Seconds kShortestRun{1.0};
+constexpr double kStepOverhead =
+    3.0;  // seconds between a job and the next: a round, an image, the record
 
 }  // namespace
 
@@ -31,14 +34,17 @@
   return base::between(Time{}, now).count() + time_of_day_offset_;
 }
 
-void JobPriorities::update_guarantees(Time now) {
+void JobPriorities::update(Time now) {
   // A job that comes must be known at once.
-  if (guaranteed_for_ == ledger_.job_changes() &&
-      base::between(guaranteed_at_, now) < kGuaranteesFresh) {
+  if (updated_for_ == ledger_.job_changes() && base::between(updated_at_, now) < kUpdateEvery)
     return;
-  }
-  guaranteed_for_ = ledger_.job_changes();
-  guaranteed_at_ = now;
+  updated_for_ = ledger_.job_changes();
+  updated_at_ = now;
+  update_guarantees();
+  update_inherited(now);
+}
+
+void JobPriorities::update_guarantees() {
   guaranteed_.clear();
   const auto has_guarantee = [](const base::Team& t) { return t.cores > 0 || t.gpus > 0; };
   if (std::none_of(settings_.teams.begin(), settings_.teams.end(),
@@ -47,7 +53,8 @@
   }
   std::map<std::string, std::vector<const Job*>> by_team;
   for (const auto& [id, job] : ledger_.jobs()) {
-    if (!job.cancelled()) by_team[job.record.spec.team].push_back(&job);
+    // What waits for other jobs takes no part of the guarantee yet.
+    if (!job.cancelled() && !job.waits) by_team[job.record.spec.team].push_back(&job);
   }
   for (auto& [name, jobs] : by_team) {
     const auto team = settings_.teams.find(name);
@@ -56,10 +63,64 @@
   }
 }
 
+std::vector<const Job*> JobPriorities::jobs_in_order_of_need() const {
+  const auto& dependencies = ledger_.dependencies();
+  std::map<base::JobId, std::size_t> live_needs;  // that are not in the order yet
+  std::vector<const Job*> order;
+  for (const auto& [need, dependents] : dependencies.waited_for()) {
+    const Job* job = ledger_.job(need);
+    if (job && !job->waits) order.push_back(job);
+  }
+  for (const auto& [id, needs] : dependencies.waiting()) {
+    live_needs[id] = static_cast<std::size_t>(std::count_if(
+        needs.begin(), needs.end(), [this](const auto& n) { return ledger_.job(n) != nullptr; }));
+  }
+  for (std::size_t i = 0; i < order.size(); ++i) {
+    for (const base::JobId& id : dependencies.dependents(order[i]->record.spec.id)) {
+      const Job* job = ledger_.job(id);
+      if (--live_needs[id] == 0 && job) order.push_back(job);
+    }
+  }
+  return order;
+}
+
+void JobPriorities::update_inherited(Time now) {
+  inherited_.clear();
+  const auto& dependencies = ledger_.dependencies();
+  const std::vector<const Job*> order = jobs_in_order_of_need();
+  // Forwards: when each can be complete at the soonest.
+  std::map<base::JobId, double> soonest_start, soonest_end;
+  for (const Job* job : order) {
+    const base::JobId& id = job->record.spec.id;
+    const double start = std::max(time_of_day(now), soonest_start[id]);
+    const double end = start + run_time(job->record.spec).count();
+    soonest_end[id] = end;
+    for (const base::JobId& dependent : dependencies.dependents(id)) {
+      double& at = soonest_start[dependent];
+      at = std::max(at, end + kStepOverhead);
+    }
+  }
+  // Backwards: what each owes to those that need it.
+  for (const Job* each : std::ranges::reverse_view(order)) {
+    const Job& job = *each;
+    const base::JobId& id = job.record.spec.id;
+    Inherited own{job.record.spec.rank, own_due(job, soonest_end[id])};
+    for (const base::JobId& dependent : dependencies.dependents(id)) {
+      const auto after = inherited_.find(dependent);
+      const Job* next = ledger_.job(dependent);
+      if (after == inherited_.end() || next->cancelled()) continue;
+      own.rank = std::min(own.rank, after->second.rank);
+      own.due = std::min(own.due,
+                         after->second.due - run_time(next->record.spec).count() - kStepOverhead);
+    }
+    inherited_[id] = own;
+  }
+}
+
 void JobPriorities::guarantee_jobs_of(const base::Team& team, std::vector<const Job*>& jobs) {
   std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
-    return a->record.submitted != b->record.submitted ? a->record.submitted < b->record.submitted
-                                                      : a->record.spec.id < b->record.spec.id;
+    const double first = a->startable_since(), second = b->startable_since();
+    return first != second ? first < second : a->record.spec.id < b->record.spec.id;
   });
   Resources left;
   left.v = {team.cores, team.gpus, kAnyMemory};
@@ -76,18 +137,28 @@
   return guaranteed_.contains(job.record.spec.id);
 }
 
+Rank JobPriorities::rank(const Job& job) const {
+  const auto at = inherited_.find(job.record.spec.id);
+  return at == inherited_.end() ? job.record.spec.rank : at->second.rank;
+}
+
 int JobPriorities::tier(const Job& job) const {
-  return static_cast<int>(job.record.spec.rank) * 2 + (is_guaranteed(job) ? 0 : 1);
+  return static_cast<int>(rank(job)) * 2 + (is_guaranteed(job) ? 0 : 1);
 }
 
-bool JobPriorities::is_urgent(const Job& job) {
-  return job.record.spec.rank <= Rank::kUrgent;
+bool JobPriorities::is_urgent(const Job& job) const {
+  return rank(job) <= Rank::kUrgent;
 }
 
 double JobPriorities::due(const Job& job, Time now) const {
+  const auto at = inherited_.find(job.record.spec.id);
+  if (at != inherited_.end()) return at->second.due;
+  return own_due(job, time_of_day(now) + run_time(job.record.spec).count());
+}
+
+double JobPriorities::own_due(const Job& job, double least) const {
   const auto& spec = job.record.spec;
-  if (!spec.deadline) return kNoDeadline + job.record.submitted;
-  const double least = time_of_day(now) + run_time(spec).count();
+  if (!spec.deadline) return kNoDeadline + job.startable_since();
   // The earliest of the deadline and the later ones that can still be kept.
   double soonest = 0;
   const auto consider = [&](double after_s) {
@@ -111,11 +182,15 @@
 }
 
 bool JobPriorities::may_displace(const Job& job) const {
-  return is_urgent(job) || is_guaranteed(job);
+  // By its own rank: what it inherits makes a sweep of work go first, and stops no other work.
+  return job.record.spec.rank <= Rank::kUrgent || is_guaranteed(job);
 }
 
-bool JobPriorities::is_spare_time(const protocol::JobSpec& spec) const {
-  return spec.rank == Rank::kIdle && !spec.deadline &&
+bool JobPriorities::is_spare_time(const Job& job) const {
+  const auto& spec = job.record.spec;
+  const auto inherited = inherited_.find(spec.id);
+  if (inherited != inherited_.end() && inherited->second.due < kNoDeadline) return false;
+  return rank(job) == Rank::kIdle && !spec.deadline &&
          std::none_of(settings_.objectives.begin(), settings_.objectives.end(),
                       [&](const base::Objective& o) { return o.job_class == spec.job_class; });
 }
@@ -125,7 +200,7 @@
   // What never began has waited since it was submitted, whichever process saw it.
   const bool began = job.held > 0 || job.done > 0;
   const double waited =
-      began ? base::between(job.moved, now).count() : time_of_day(now) - job.record.submitted;
+      began ? base::between(job.moved, now).count() : time_of_day(now) - job.startable_since();
   if (waited < settings_.tuning.longest_wait.count()) return {};
   return std::max<std::size_t>(1, job.pending() / kOverdueShare);
 }
--- a/src/coordination/job_priorities.h
+++ b/src/coordination/job_priorities.h
@@ -22,23 +22,27 @@
   void set_time_of_day(base::Time now, double seconds);
   double time_of_day(base::Time now) const;
 
-  // Works out anew which jobs are within their team's guarantee, if that may have changed.
-  void update_guarantees(base::Time now);
+  // Works out anew what depends on other jobs, if that may have changed: which jobs are within their
+  // team's guarantee, and what jobs take over from those that need them.
+  void update(base::Time now);
   // Does the job fit into its team's guarantee together with the team's earlier unfinished jobs?
   bool is_guaranteed(const bookkeeping::Job& job) const;
+  // The highest rank of the job and of all that need it.
+  protocol::Rank rank(const bookkeeping::Job& job) const;
   // Lower tiers come first: by rank, and within a rank what is guaranteed first.
   int tier(const bookkeeping::Job& job) const;
-  static bool is_urgent(const bookkeeping::Job& job);
+  bool is_urgent(const bookkeeping::Job& job) const;
 
   // When a job should be complete, by the time of day: its deadline while that can be kept, then
-  // the later ones that the objectives name; without any, far off.
+  // the later ones that the objectives name; without any, far off. What other jobs need is due early
+  // enough for these to be complete in time.
   double due(const bookkeeping::Job& job, base::Time now) const;
   // How soon a job of this class should start, if the objectives say.
   std::optional<base::Seconds> start_within(const protocol::JobSpec& spec) const;
   // May it have lower work stopped to get room? Guaranteed jobs also what others run beyond theirs.
   bool may_displace(const bookkeeping::Job& job) const;
   // Work of the lowest priority that nobody set an objective for: it gets what others leave over.
-  bool is_spare_time(const protocol::JobSpec& spec) const;
+  bool is_spare_time(const bookkeeping::Job& job) const;
   // Has it waited so long that it goes before others? Then so many of its tasks do.
   std::optional<std::size_t> overdue_tasks(const bookkeeping::Job& job, base::Time now) const;
 
@@ -47,14 +51,26 @@
   void learn_run_time(const protocol::JobSpec& spec, base::Seconds ran);
 
  private:
+  // What a job takes over from those that need it.
+  struct Inherited {
+    protocol::Rank rank = protocol::Rank::kIdle;
+    double due = 0;
+  };
+  void update_guarantees();
+  void update_inherited(base::Time now);
+  // The live jobs that others wait for, and those others, each after all that it waits for.
+  std::vector<const bookkeeping::Job*> jobs_in_order_of_need() const;
+  // Its own due time, if it can be complete at `least` at the soonest.
+  double own_due(const bookkeeping::Job& job, double least) const;
   void guarantee_jobs_of(const base::Team& team, std::vector<const bookkeeping::Job*>& jobs);
 
   const base::Settings& settings_;
   const bookkeeping::Ledger& ledger_;
   double time_of_day_offset_ = 0;
   std::set<base::JobId> guaranteed_;
-  std::uint64_t guaranteed_for_ = 0;  // the ledger's count of job changes then
-  base::Time guaranteed_at_{};
+  std::map<base::JobId, Inherited> inherited_;
+  std::uint64_t updated_for_ = 0;  // the ledger's count of job changes then
+  base::Time updated_at_{};
   std::map<std::string, double> run_ratio_;  // run times against estimates, by class
 };
 
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -43,7 +43,9 @@
   const auto& o = other.record.spec;
   // At its team's limit only the team's own lower work can give way.
   if (p.over_limit > kNoCores && o.team != spec.team) return false;
-  if (o.rank > spec.rank) return true;
+  // What other jobs wait for is stopped as if it were one of them; what stops others does so by its own
+  // rank. So nothing that was stopped stops what it gave way to in its turn.
+  if (priorities_.rank(other) > spec.rank) return true;
   if (p.over_limit > kNoCores) return false;
   // Only what another team runs beyond its guarantee, and no more of it than that: a job within
   // the guarantee, once stopped, would stop others in its turn, and so on for ever.
--- a/src/coordination/record_batch.cpp
+++ b/src/coordination/record_batch.cpp
@@ -72,7 +72,10 @@
 
 std::optional<Attempt> RecordBatch::add_start(const TaskId& task, Held held) {
   const Job* job = ledger_.job(task.job);
-  if (!job) return {};
+  // The one gate that all starts pass, whoever offered the task: not before all jobs that it needs are
+  // done on record, and nothing that is cancelled.
+  if (!job || job->waits || job->cancelled()) return {};
+  if (!has_room_for_start(*job, task.no, held)) return {};
   const auto& spec = job->record.spec;
   const bool limited = ledger_.limited(spec.team);
   const std::string team = limited ? protocol::team_key(spec.team) : "";
@@ -94,6 +97,25 @@
   return held.attempt;
 }
 
+// Does the record, with one more task held, fit into a value of the store? One that was written under a
+// larger limit takes starts again once enough of its tasks have ended.
+bool RecordBatch::has_room_for_start(const Job& job, TaskNo no, const Held& held) const {
+  const Edit* e = find(job, no);
+  const auto& record = e ? e->record : job.chunks[job.record.chunk_of(no)].record;
+  return protocol::encoded_size_bound(record) + protocol::encoded_size_bound(held) <=
+         settings_.value_bytes;
+}
+
+bool RecordBatch::fits_with_ends(const Job& job, std::uint32_t chunk,
+                                 const std::vector<TaskEnd>& ends) const {
+  protocol::ChunkRecord record = job.chunks[chunk].record;
+  for (const TaskEnd& end : ends) {
+    record.held.erase(end.no);
+    if (end.done) record.done[end.no % job.record.chunk] = true;
+  }
+  return protocol::encoded_size_bound(record) <= settings_.value_bytes;
+}
+
 std::set<JobId> RecordBatch::finished_jobs() const {
   struct Counts {
     TaskNo done = 0, held = 0;
@@ -110,7 +132,7 @@
   std::set<JobId> finished;
   for (const auto& [id, counts] : after) {
     const Job& job = *ledger_.job(id);
-    const bool over = job.record.cancelled || counts.done >= job.record.spec.tasks;
+    const bool over = job.cancelled_on_record() || counts.done >= job.record.spec.tasks;
     if (counts.held > 0 || !over || !ledger_.is_settled(job)) continue;
     if (all_writes + kWritesOfFinish > settings_.txn_ops) continue;
     all_writes += kWritesOfFinish;
@@ -119,23 +141,25 @@
   return finished;
 }
 
-Transaction RecordBatch::build(const protocol::Life& self, Version view) const {
+Transaction RecordBatch::build(const protocol::Life& self, Version view, double time_of_day) const {
   Transaction txn;
   txn.guards[protocol::kViewKey] = view;
   const std::set<JobId> finished = finished_jobs();
-  for (const JobId& id : finished) add_finish(txn, *ledger_.job(id), settings_.txn_ops);
   for (const auto& [id, e] : edits_) {
+    const std::string key = protocol::chunk_key(id.job, id.chunk);
+    txn.guards[key] = e.job->chunks[id.chunk].version;
     if (finished.contains(id.job)) continue;
     protocol::ChunkRecord record = e.record;
     if (e.has_starts) {
       record.next = Attempt(record.next.get() + 1);
       txn.guards[protocol::job_key(id.job)] = e.job->version;
     }
-    const std::string key = protocol::chunk_key(id.job, id.chunk);
-    txn.guards[key] = e.job->chunks[id.chunk].version;
     txn.writes.push_back({key, to_json(record, e.job->chunk_first(id.chunk)), {}});
   }
   add_rows(txn, self);
+  for (const JobId& id : finished) add_finish(txn, *ledger_.job(id), time_of_day);
+  // Last: they take only what room for conditions is left.
+  for (const JobId& id : finished) guard_task_records(txn, *ledger_.job(id), settings_.txn_ops);
   return txn;
 }
 
--- a/src/coordination/record_batch.h
+++ b/src/coordination/record_batch.h
@@ -23,6 +23,15 @@
   // Does the batch write the record of this task already?
   bool writes_record_of(const bookkeeping::Job& job, base::TaskNo no) const;
 
+  struct TaskEnd {
+    base::TaskNo no = 0;
+    bool done = false;
+  };
+  // Would the record of these tasks fit into a value of the store, once these ends are put on it? One that
+  // was written under a larger limit may have to wait for more ends.
+  bool fits_with_ends(const bookkeeping::Job& job, std::uint32_t chunk,
+                      const std::vector<TaskEnd>& ends) const;
+
   // A task is over, completed or to be started again. False: the transaction has no room for it.
   bool add_end(const base::TaskId& task, bool done);
   // A task starts. None: the transaction has no room for it; else the attempt's number.
@@ -33,7 +42,8 @@
   bool empty() const { return edits_.empty(); }
   // The transaction: holds only under the view of that version. A job whose last end is in the batch
   // leaves with it.
-  protocol::Transaction build(const protocol::Life& self, base::Version view) const;
+  protocol::Transaction build(const protocol::Life& self, base::Version view,
+                              double time_of_day) const;
 
  private:
   struct ChunkId {
@@ -50,6 +60,8 @@
   const Edit* find(const bookkeeping::Job& job, base::TaskNo no) const;
   Edit* edit(const bookkeeping::Job& job, base::TaskNo no);
   std::size_t writes() const { return edits_.size() + teams_.size() + serialized_.size(); }
+  bool has_room_for_start(const bookkeeping::Job& job, base::TaskNo no,
+                          const protocol::Held& held) const;
   std::set<base::JobId> finished_jobs() const;
   void add_rows(protocol::Transaction& txn, const protocol::Life& self) const;
 
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -29,6 +29,10 @@
 constexpr Seconds kRoomToMove{1.5};
 constexpr Seconds kSettled{35.0};  // a start that is undone sooner was none
 
+bool is_done(const std::optional<protocol::FinalState>& state) {
+  return state && state->status == protocol::JobStatus::kDone;
+}
+
 }  // namespace
 
 // Keeps a machine free of other work until a task of the job fits on it. Under lasting overload a
@@ -125,8 +129,7 @@
 void Controller::judge_failures(Time now) {
   for (const JobId& id : failures_.unproven()) {
     const Job* job = ledger_.job(id);
-    const bool completed =
-        job ? job->done > 0 : ledger_.final_state(id) == protocol::JobStatus::kDone;
+    const bool completed = job ? job->done > 0 : is_done(ledger_.final_state(id));
     if (completed || (job && runs_for_long(*job, now))) {
       failures_.mark_sound(id);
     } else if (!job || job->cancelled()) {
@@ -255,7 +258,7 @@
   }
   if (!entitled_since_) entitled_since_ = now;
   housekeeping(now);
-  priorities_.update_guarantees(now);
+  priorities_.update(now);
 
   RecordBatch batch(settings_, ledger_);
   std::vector<RoundPlan::End> ends;
@@ -267,7 +270,7 @@
   record_late_ends(std::move(later), pace, now, batch, plan);
   make_room(waiting, plan, now);
   plan.more = batch.turned_away();
-  if (!batch.empty()) plan.txn = batch.build(self_, followed_view_);
+  if (!batch.empty()) plan.txn = batch.build(self_, followed_view_, priorities_.time_of_day(now));
   return plan;
 }
 
@@ -275,18 +278,58 @@
   if (batch.add_end(end.task, end.done)) plan.ends.push_back(std::move(end));
 }
 
+// Records that were written when the store took larger values may be rewritten only once enough of their
+// tasks have ended, and then with all these ends at once. Drops the ends that have to wait for more;
+// returns those that go together.
+std::set<TaskId> Controller::settle_large_records(std::vector<RoundPlan::End>& ends,
+                                                  const RecordBatch& batch) const {
+  struct LargeRecord {
+    const Job* job = nullptr;
+    std::vector<RecordBatch::TaskEnd> ends;
+    bool fits = false;
+  };
+  std::map<std::pair<JobId, std::uint32_t>, LargeRecord> large;
+  for (const RoundPlan::End& end : ends) {
+    const Job* job = ledger_.job(end.task.job);
+    if (!job) continue;
+    const std::uint32_t chunk = job->record.chunk_of(end.task.no);
+    const auto& record = job->chunks[chunk].record;
+    if (protocol::encoded_size_bound(record) <= settings_.value_bytes) continue;
+    LargeRecord& l = large[{end.task.job, chunk}];
+    l.job = job;
+    l.ends.push_back({end.task.no, end.done});
+  }
+  std::set<TaskId> together;
+  if (large.empty()) return together;
+  for (auto& [id, l] : large) {
+    l.fits = batch.fits_with_ends(*l.job, id.second, l.ends);
+    for (const auto& end : l.ends) {
+      if (l.fits) together.insert({id.first, end.no});
+    }
+  }
+  std::erase_if(ends, [&](const RoundPlan::End& end) {
+    const Job* job = ledger_.job(end.task.job);
+    if (!job) return false;
+    const auto at = large.find({end.task.job, job->record.chunk_of(end.task.no)});
+    return at != large.end() && !at->second.fits;
+  });
+  return together;
+}
+
 std::vector<RoundPlan::End> Controller::record_ends(std::vector<RoundPlan::End> ends, Pace pace,
                                                     Time now, RecordBatch& batch, RoundPlan& plan) {
   std::set<TaskId> ended;
   for (const RoundPlan::End& end : ends) ended.insert(end.task);
   std::erase_if(end_seen_, [&](const auto& e) { return !ended.contains(e.first); });
+  const std::set<TaskId> together = settle_large_records(ends, batch);
   // After a crash there may be more ends than one record holds: the urgent work's come first.
   std::map<int, std::vector<RoundPlan::End>> due;  // by tier
   std::vector<RoundPlan::End> later;
   for (RoundPlan::End& end : ends) {
     const Job* job = ledger_.job(end.task.job);
-    const bool urgent = job && JobPriorities::is_urgent(*job);
-    if (can_wait(end, ended, now) || (pace == Pace::kUrgent && !urgent)) {
+    const bool urgent = job && priorities_.is_urgent(*job);
+    const bool waits = can_wait(end, ended, now) && !together.contains(end.task);
+    if (waits || (pace == Pace::kUrgent && !urgent)) {
       later.push_back(std::move(end));
     } else {
       due[job ? priorities_.tier(*job) : kLastTier].push_back(std::move(end));
@@ -322,8 +365,8 @@
   std::map<JobId, std::size_t> index;
   for (const PoolEntry& p : pool_) {
     const Job* job = ledger_.job(p.job);
-    if (!job || job->cancelled()) continue;
-    if (pace == Pace::kUrgent && !JobPriorities::is_urgent(*job)) continue;
+    if (!job || job->cancelled() || job->waits) continue;
+    if (pace == Pace::kUrgent && !priorities_.is_urgent(*job)) continue;
     if (!failures_.may_retry(p.job, now)) continue;
     const auto [at, is_new] = index.try_emplace(p.job, waiting.size());
     if (is_new) waiting.push_back({job, {}, {}, true});
@@ -687,13 +730,13 @@
   std::erase_if(absent_, [&](const auto& a) { return !ledger_.job(a.first.job); });
 }
 
-std::optional<Transaction> Controller::finish_one() {
+std::optional<Transaction> Controller::finish_one(Time now) {
   if (!alive_ || !ledger_.view()) return {};
   for (const auto& [id, job] : ledger_.jobs()) {
-    if (!job.record.cancelled && job.done < job.record.spec.tasks) continue;
+    if (!may_finish(job)) continue;
     const Life* home = home_of(*ledger_.view(), id);
     if (!home || *home != self_ || !ledger_.is_settled(job)) continue;
-    if (auto txn = finish(job, settings_.txn_ops)) return txn;
+    return finish(job, settings_.txn_ops, priorities_.time_of_day(now));
   }
   return {};
 }
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -189,7 +189,7 @@
   turns.reserve(jobs.size());
   for (const Job* job : jobs) {
     const int tier = starved(*job, now) ? kStarvedTier : priorities_.tier(*job);
-    turns.push_back({tier, priorities_.due(*job, now), job->record.submitted, job});
+    turns.push_back({tier, priorities_.due(*job, now), job->startable_since(), job});
   }
   std::stable_sort(turns.begin(), turns.end());
   for (std::size_t i = 0; i < turns.size(); ++i) jobs[i] = turns[i].job;
@@ -291,7 +291,7 @@
 // already beats a roomier one where it must be fetched, and so does one with room where controllers are.
 std::optional<std::size_t> Controller::best_part(const Routing& r) const {
   const bool hurries =
-      JobPriorities::is_urgent(*r.job) && priorities_.start_within(r.spec()).has_value();
+      r.spec().rank <= protocol::Rank::kUrgent && priorities_.start_within(r.spec()).has_value();
   std::optional<std::size_t> best;
   int best_rank = 0;
   for (std::size_t p = 0; p < r.parts.size(); ++p) {
@@ -375,7 +375,7 @@
   tidy_offers(now);
   std::vector<const Job*> jobs = jobs_to_route(now);
   if (jobs.empty()) return {};
-  priorities_.update_guarantees(now);
+  priorities_.update(now);
   sort_by_turn(jobs, now);
   Routing r;
   r.now = now;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -31,9 +31,10 @@
 constexpr std::size_t kMostTold = 1024;  // cancellations that a sibling has not taken
 // An answer of changes that were missed takes several times its size once it is parsed.
 constexpr std::size_t kChangesShare = 32;
-constexpr std::size_t kMostOrphans = 4000;  // records kept for later removal
-constexpr int kMostThreads = 192;           // that serve requests; a process may have 2,000 in all
-constexpr int kSenders = 8;                 // of direct orders
+constexpr std::size_t kMostOrphans = 4000;   // records kept for later removal
+constexpr std::size_t kMostFinalsRead = 16;  // in one round
+constexpr int kMostThreads = 192;            // that serve requests; a process may have 2,000 in all
+constexpr int kSenders = 8;                  // of direct orders
 constexpr std::size_t kMaxSiblingBody = 2u << 20;  // a status lists all machines of a part
 
 base::Time now() {
@@ -585,7 +586,7 @@
     if (!went) pause(kLeastGap);
   }
   for (int i = 0; i < 8; ++i) {
-    const auto txn = locked([](auto& c) { return c.finish_one(); });
+    const auto txn = locked([](auto& c) { return c.finish_one(now()); });
     if (!txn) break;
     pay_writes(txn->writes.size());
     if (!commit(*txn, kStateCall)) break;
@@ -600,6 +601,24 @@
     pay_writes(orphans->writes.size());
     commit(*orphans, kStateCall);
   }
+  read_unresolved_needs();
+  // What this node's own records made ready waits for no other event.
+  const std::uint64_t ready = locked([](auto& c) { return c.ledger().jobs_made_ready(); });
+  if (ready != jobs_made_ready_) round_bell_.ring();
+  jobs_made_ready_ = ready;
+}
+
+// Jobs may wait for others that were over before this copy was read: their final states are not among
+// what is read and watched from then on.
+void Node::read_unresolved_needs() {
+  auto ids = locked([](auto& c) { return c.ledger().unresolved_needs(); });
+  if (ids.size() > kMostFinalsRead) ids.resize(kMostFinalsRead);
+  for (const JobId& id : ids) {
+    const auto got = state_.get(protocol::final_key(id), kUserCall);
+    if (!got.answered) return;
+    const auto state = protocol::parse_final(got.item.value);
+    if (state) locked([&](auto& c) { c.ledger().remember_final(id, *state); });
+  }
 }
 
 bool Node::commit_plan(const coordination::RoundPlan& plan,
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <set>
+
+#include "protocol/id_lists.h"
 
 namespace saddleslip::protocol {
 
@@ -82,6 +85,28 @@
   return TaskId{JobId(text.substr(0, slash)), no};
 }
 
+// The jobs that a submission needs, each once, in the order in which they are named first.
+std::vector<JobId> parse_needs(Reader& reader) {
+  constexpr const char* kField = "follows";
+  std::vector<JobId> needs;
+  const Json* list = reader.find(kField);
+  if (!list || list->is_null()) return needs;
+  if (!list->is_array()) {
+    reader.fail(kField, "must be null or an array of job ids");
+    return needs;
+  }
+  std::set<JobId> named;
+  for (const Json& entry : *list) {
+    if (!entry.is_string() || !valid_job_id(entry.get_ref<const std::string&>())) {
+      reader.fail(kField, "must hold job ids of the form run-000412");
+      return {};
+    }
+    JobId id(entry.get<std::string>());
+    if (named.insert(id).second) needs.push_back(std::move(id));
+  }
+  return needs;
+}
+
 std::string task_text(const TaskId& t) {
   return t.job.get() + "/" + std::to_string(t.no);
 }
@@ -117,6 +142,7 @@
   if (s.types) j["breeds"] = *s.types;
   if (s.zone) j["paddock"] = *s.zone;
   if (s.deadline) j["sundown_s"] = s.deadline->count();
+  if (!s.needs.empty()) j["follows"] = ids_to_json(s.needs);
   return j;
 }
 
@@ -164,6 +190,7 @@
   s.checkpoint = Seconds(r.amount("waypoint_s", 0));
   s.save = Seconds(r.amount("unload_s", 0));
   if (const auto d = r.amount_or_null("sundown_s", 0)) s.deadline = Seconds(*d);
+  s.needs = parse_needs(r);
   if (!r.error().empty()) return r.error();
   return s;
 }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -76,6 +76,8 @@
   Seconds checkpoint{0};
   Seconds save{0};
   std::optional<Seconds> deadline;
+  // Jobs that must be done before any task of this one starts; each is named once.
+  std::vector<JobId> needs;
 };
 
 // Where users submit jobs; a job's own path is this, a slash and its id.
--- a/src/protocol/records.cpp
+++ b/src/protocol/records.cpp
@@ -54,10 +54,46 @@
   return ChunkName{JobId(key.substr(kChunks.size(), slash - kChunks.size())), n};
 }
 
-TaskNo chunk_size(TaskNo tasks, std::size_t parts) {
+namespace {
+
+// Of a record's encoding: its frame with the next attempt's number; brackets, commas and quotes of a held
+// task, [place,count,"machine",attempt,session], and of a run of tasks that are done, [place,count].
+constexpr std::size_t kFrameBytes = 64;
+constexpr std::size_t kHeldPunctuation = 9;
+constexpr std::size_t kDonePunctuation = 4;
+constexpr std::size_t kPlaceDigits =
+    3;  // at most, of a task's place in its record or a count of tasks
+constexpr std::size_t kHeldBytes = 36;  // expected; what a record holds is counted exactly
+
+std::size_t digits(std::uint64_t number) {
+  return std::to_string(number).size();
+}
+
+}  // namespace
+
+TaskNo chunk_size(TaskNo tasks, std::size_t parts, std::size_t most_bytes) {
   constexpr TaskNo kLeast = 16;
+  const std::size_t room = most_bytes > kFrameBytes ? most_bytes - kFrameBytes : 0;
+  const std::size_t fit = room / kHeldBytes;
+  const TaskNo most = static_cast<TaskNo>(std::clamp<std::size_t>(fit, 1, kMostChunk));
   const auto n = static_cast<TaskNo>(std::max<std::size_t>(1, parts));
-  return std::clamp((tasks + n - 1) / n, kLeast, kMostChunk);
+  return std::clamp((tasks + n - 1) / n, std::min(kLeast, most), most);
+}
+
+std::size_t encoded_size_bound(const Held& held) {
+  return kHeldPunctuation + kPlaceDigits + 1 + held.machine.get().size() +
+         digits(held.attempt.get()) + digits(held.session.get());
+}
+
+std::size_t encoded_size_bound(const ChunkRecord& chunk) {
+  std::size_t bytes = kFrameBytes;
+  for (const auto& [no, held] : chunk.held) bytes += encoded_size_bound(held);
+  bool in_run = false;
+  for (const bool done : chunk.done) {
+    if (done && !in_run) bytes += kDonePunctuation + 2 * kPlaceDigits;
+    in_run = done;
+  }
+  return bytes;
 }
 
 Json to_json(const JobRecord& job) {
@@ -138,13 +174,20 @@
   }
 }
 
-Json final_record(JobStatus status) {
-  return Json{{"f", status == JobStatus::kDone ? "d" : "w"}};
+Json to_json(const FinalState& state) {
+  Json j = {{"f", state.status == JobStatus::kDone ? "d" : "w"}};
+  if (state.at > 0) j["at"] = state.at;
+  return j;
 }
 
-std::optional<JobStatus> parse_final(const Json& value) {
+std::optional<FinalState> parse_final(const Json& value) {
   if (!value.is_object()) return {};
-  return value.value("f", "") == "d" ? JobStatus::kDone : JobStatus::kCancelled;
+  FinalState state;
+  const auto how = value.find("f");
+  state.status = how != value.end() && *how == "d" ? JobStatus::kDone : JobStatus::kCancelled;
+  const auto at = value.find("at");
+  if (at != value.end() && at->is_number()) state.at = at->get<double>();
+  return state;
 }
 
 Json to_json(const Life& life) {
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -70,6 +70,9 @@
   std::optional<LeaseId> lease;
 };
 
+// The store takes so many conditions for each change that a transaction may hold.
+inline constexpr std::size_t kGuardsPerWrite = 4;
+
 struct Transaction {
   std::map<std::string, Version> guards;
   std::vector<Put> writes;
@@ -85,8 +88,9 @@
   std::size_t chunks() const { return (spec.tasks + chunk - 1) / chunk; }
 };
 // So many tasks to a record that each part of the machines can have records of its own: two nodes
-// that write the same one get in each other's way.
-TaskNo chunk_size(TaskNo tasks, std::size_t parts);
+// that write the same one get in each other's way. No more than fit into a value of so many bytes,
+// each held by a machine of its own.
+TaskNo chunk_size(TaskNo tasks, std::size_t parts, std::size_t most_bytes);
 Json to_json(const JobRecord& job);
 std::optional<JobRecord> parse_job(const Json& value);
 
@@ -103,11 +107,20 @@
   std::map<TaskNo, Held> held;
   TaskNo done_count() const;
 };
+// At least as many bytes as the record takes in the store.
+std::size_t encoded_size_bound(const ChunkRecord& chunk);
+// ... and what one more task that is held adds to it.
+std::size_t encoded_size_bound(const Held& held);
 Json to_json(const ChunkRecord& chunk, TaskNo first);
 std::optional<ChunkRecord> parse_chunk(const Json& value, TaskNo first, TaskNo count);
 
-Json final_record(JobStatus status);
-std::optional<JobStatus> parse_final(const Json& value);
+// How a job ended, for good.
+struct FinalState {
+  JobStatus status = JobStatus::kDone;
+  double at = 0;  // when this was recorded, by the time of day; 0: not told (versions before 0.2)
+};
+Json to_json(const FinalState& state);
+std::optional<FinalState> parse_final(const Json& value);
 
 struct Life {
   MemberId member;
--- a/src/users.cpp
+++ b/src/users.cpp
@@ -1,5 +1,7 @@
 #include "users.h"
 
+#include <algorithm>
+
 #include "base/log.h"
 #include "coordination/intake.h"
 
@@ -27,14 +29,18 @@
   return {200, protocol::user_status(id, status), 0};
 }
 
+constexpr const char* kStateSilent = "the state service does not answer";
+// Final states read from the store for one submission at most; what is left is read for its next try.
+constexpr std::size_t kMostNeedsRead = 64;
+
 }  // namespace
 
 Users::Known Users::look_up(const JobId& id, Reply& reply) {
   const auto known_here = [&](coordination::Controller& c) -> std::optional<Reply> {
-    if (const auto f = c.ledger().final_state(id)) return known_final(id, *f);
+    if (const auto f = c.ledger().final_state(id)) return known_final(id, f->status);
     const auto* job = c.ledger().job(id);
     if (!job) return {};
-    if (job->record.cancelled) return known_final(id, protocol::JobStatus::kCancelled);
+    if (job->cancelled_on_record()) return known_final(id, protocol::JobStatus::kCancelled);
     const auto status =
         job->held > 0 ? protocol::JobStatus::kRunning : protocol::JobStatus::kQueued;
     return Reply{200, protocol::user_status(id, status, job->done, job->held), 0};
@@ -42,27 +48,73 @@
   const auto cached =
       locked([&](coordination::Controller& c) { return c.ledger().final_state(id); });
   if (cached) {
-    reply = known_final(id, *cached);
+    reply = known_final(id, cached->status);
     return Known::kYes;
   }
   // Another node may have told more than this one has heard of: what is not final is told only from
   // a copy that was proved current after the question came. A live record only ever becomes a final
   // one, so what that copy lacks is final, and read from the store, or was never accepted.
   if (!store_.current()) return Known::kCantTell;
+  // It is cancelled with any job that it depends on: another node may have told so, and this one must not
+  // say "queued" for want of a final state that it has not read.
+  const auto unresolved =
+      locked([&](coordination::Controller& c) { return c.ledger().unresolved_needs(id); });
+  for (const JobId& need : unresolved) {
+    if (read_final(need) == Known::kCantTell) return Known::kCantTell;
+  }
+  if (auto here = locked(known_here)) {
+    reply = std::move(*here);
+    return Known::kYes;
+  }
+  const Known over = read_final(id);
+  if (over != Known::kYes) return over;
   if (auto here = locked(known_here)) {
     reply = std::move(*here);
     return Known::kYes;
   }
+  return Known::kCantTell;
+}
+
+Users::Known Users::read_final(const JobId& id) {
   const auto over = store_.get(protocol::final_key(id));
   if (!over.answered) return Known::kCantTell;
   if (over.item.version.get() == 0) return Known::kNo;
   const auto final_state = protocol::parse_final(over.item.value);
   if (!final_state) return Known::kCantTell;
   locked([&](coordination::Controller& c) { c.ledger().remember_final(id, *final_state); });
-  reply = known_final(id, *final_state);
   return Known::kYes;
 }
 
+Users::Needs Users::look_up_needs(const protocol::JobSpec& spec) {
+  // What is known here was accepted; of the rest only the store can say that it never was.
+  const auto not_known = [&](coordination::Controller& c) {
+    std::vector<JobId> ids;
+    for (const JobId& need : spec.needs) {
+      if (!c.ledger().job(need) && !c.ledger().final_state(need)) ids.push_back(need);
+    }
+    return ids;
+  };
+  if (!locked(not_known).empty()) {
+    if (!store_.current()) return {Known::kCantTell, {}, false};
+    const std::vector<JobId> ids = locked(not_known);
+    for (std::size_t i = 0; i < ids.size(); ++i) {
+      if (i == kMostNeedsRead) return {Known::kCantTell, {}, false};
+      const Known known = read_final(ids[i]);
+      if (known != Known::kYes) return {known, ids[i], false};
+    }
+  }
+  return locked([&](coordination::Controller& c) {
+    const bool cancelled =
+        std::any_of(spec.needs.begin(), spec.needs.end(), [&](const JobId& need) {
+          const auto over = c.ledger().final_state(need);
+          if (over) return over->status == protocol::JobStatus::kCancelled;
+          const auto* live = c.ledger().job(need);
+          return live && live->cancelled_on_record();
+        });
+    return Needs{Known::kYes, {}, cancelled};
+  });
+}
+
 Reply Users::submit(const std::string& body, Time now) {
   const auto parsed = protocol::parse_submission(body);
   Reply reply;
@@ -73,7 +125,7 @@
         protocol::valid_job_id(root.at("name_id").get<std::string>())) {
       const auto known = look_up(JobId(root.at("name_id").get<std::string>()), reply);
       if (known == Known::kYes) return reply;
-      if (known == Known::kCantTell) return try_later("the state service does not answer");
+      if (known == Known::kCantTell) return try_later(kStateSilent);
     }
     return error(400, *why);
   }
@@ -90,12 +142,25 @@
   if (v.known || v.undecided || v.never) {
     const auto known = look_up(spec.id, reply);
     if (known == Known::kYes) return reply;
-    if (known == Known::kCantTell) return try_later("the state service does not answer");
+    if (known == Known::kCantTell) return try_later(kStateSilent);
     if (v.undecided) return try_later("the machine types are not known yet");
     if (v.never) return error(422, *v.never);
   }
-  const Transaction txn = coordination::acceptance(
-      spec, store_.wall(), static_cast<std::size_t>(std::max(1, settings_.size)));
+  const Needs needs = look_up_needs(spec);
+  if (needs.known != Known::kYes) {
+    // Accepted already, it is so whatever it needs.
+    const auto known = look_up(spec.id, reply);
+    if (known == Known::kYes) return reply;
+    if (known == Known::kCantTell || needs.known == Known::kCantTell)
+      return try_later(kStateSilent);
+    return error(422, "no such job: " + needs.never_accepted.get());
+  }
+  coordination::AcceptanceContext context;
+  context.time_of_day = store_.wall();
+  context.parts = static_cast<std::size_t>(std::max(1, settings_.size));
+  context.value_bytes = settings_.value_bytes;
+  context.need_cancelled = needs.cancelled;
+  const Transaction txn = coordination::acceptance(spec, context);
   const auto done = store_.commit(txn);
   switch (done.outcome) {
     case Outcome::kDone:
@@ -105,7 +170,10 @@
       });
       store_.changed();
       spdlog::debug("{} accepted", spec.id.get());
-      return {201, protocol::user_status(spec.id, protocol::JobStatus::kQueued), 0};
+      return {201,
+              protocol::user_status(spec.id, needs.cancelled ? protocol::JobStatus::kCancelled
+                                                             : protocol::JobStatus::kQueued),
+              0};
     case Outcome::kRefused:
       return try_later("the state service is over its limit or out of service");
     default:
@@ -123,14 +191,14 @@
     case Known::kNo:
       return error(404, "no such job");
     default:
-      return try_later("the state service does not answer");
+      return try_later(kStateSilent);
   }
 }
 
 Reply Users::cancel(const JobId& id, Time now) {
   for (int i = 0; i < 3; ++i) {
     if (const auto f = locked([&](auto& c) { return c.ledger().final_state(id); })) {
-      return known_final(id, *f);
+      return known_final(id, f->status);
     }
     auto live = store_.get(protocol::job_key(id));
     if (!live.answered) break;
@@ -154,7 +222,7 @@
     store_.changed();
     return known_final(id, protocol::JobStatus::kCancelled);
   }
-  return try_later("the state service does not answer");
+  return try_later(kStateSilent);
 }
 
 }  // namespace saddleslip
--- a/src/users.h
+++ b/src/users.h
@@ -37,6 +37,15 @@
   // The state of a job, not older than anything that any node has told; kNo: never accepted.
   enum class Known { kYes, kNo, kCantTell };
   Known look_up(const base::JobId& id, transport::Reply& reply);
+  // Reads a job's final state from the store, if it has one, and remembers it.
+  Known read_final(const base::JobId& id);
+  // The jobs that a submission needs.
+  struct Needs {
+    Known known = Known::kYes;  // were all of them accepted?
+    base::JobId never_accepted;
+    bool cancelled = false;  // one of them is cancelled, and so is what needs it
+  };
+  Needs look_up_needs(const protocol::JobSpec& spec);
 
   template <class F>
   auto locked(F f) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -7,8 +7,10 @@
 //   workers REPORT_S LEASE_S (before nodes)
 //   team NAME LEAST MOST | operators SETTING: VALUE | nodes N | capacity TYPE N      (nodes after both)
 //   machine ID TYPE ZONE [spot] | machines N TYPE ZONE                       (TYPE: small, big)
+//   state_limits BYTES WRITES | next_limits BYTES WRITES (of a value and a transaction, as the settings of
+//     controllers that start from now on say of the state service, at once and from some moment on)
 //   submit ID KIND tasks= cores= memory= run= rank= team= class= deadline= estimate= node= type= zone=
-//     spot one_zone spread fails= (each task fails after so long) | cancel ID | repeat N EVERY COMMAND (# in it: a number of its own)
+//     spot one_zone spread fails= (each task fails after so long) follows=ID,ID | cancel ID [node=] | repeat N EVERY COMMAND (# in it: a number of its own)
 //   run SECONDS
 //   boots SECONDS|never (machines that are rented from now on)
 //   spot on|off (does the cloud have spot machines?)
@@ -116,6 +118,8 @@
     bool accepted = false, cancel_asked = false;
     std::optional<double> cancelled_at;
     std::string told_final;
+    // Since when all jobs that it needs are done on record (from its submission, if it needs none).
+    std::optional<double> ready_since;
     double submitted = 0, known_at = 0;  // when a question about it was last answered
     std::optional<double> began;
     double waited = 0;  // for its first task, since its submission or the end of all troubles
@@ -131,6 +135,7 @@
   void write(const std::string& key, const Json& value, std::uint64_t lease,
              std::uint64_t revision);
   protocol::StateClient::Committed commit(std::size_t node, const protocol::Transaction& txn);
+  void check_limits(std::size_t node, const protocol::Transaction& txn);
   protocol::StateClient::Committed apply(const protocol::Transaction& txn);
   protocol::StateClient::Got get(std::size_t node, const std::string& key);
   bool state_reachable(std::size_t node) const;
@@ -157,12 +162,20 @@
   void round(std::size_t n);
   void fleet(std::size_t n);
   void refresh(std::size_t n, const std::vector<std::string>& keys);
+  void read_unresolved_needs(std::size_t n);
   bool cut(const std::string& a, const std::string& b) const;
 
   // users and rules
   void submit(std::size_t node, JobSim& job);
   void poll();
   void check_start(const Worker& w, const TaskId& task);
+  // Is every job that it needs done, by what its tasks did and by its final record?
+  bool needs_are_done(const JobSim& job) const;
+  // When the user of a job that it depends on, through any number of steps, was told of its cancellation.
+  std::optional<double> need_cancelled_at(const JobSim& job) const;
+  // Was the cancellation of the job, or of one that it depends on, asked for?
+  bool cancellation_asked(const JobSim& job) const;
+  void check_answer(JobSim& job, const std::string& status);
   // No controller may command a start of what was confirmed as cancelled. One that hears neither the
   // state service nor any other controller has until its authority ends.
   void check_command(std::size_t n, const TaskId& task);
@@ -188,6 +201,11 @@
   std::vector<Change> changes_;
   std::uint64_t revision_ = 0, next_lease_ = 0;
   bool state_down_ = false;
+  // The store's limits as the settings say, and those that it gets later; none: they say nothing of them.
+  struct StateLimits {
+    std::size_t value_bytes = 0, writes = 0;
+  };
+  std::optional<StateLimits> limits_, next_limits_;
   std::set<std::size_t> lose_commit_;  // the next commit of this node is carried out, unanswered
   std::map<std::size_t, double> late_commit_;  // ... or carried out this much later
   std::vector<std::pair<double, protocol::Transaction>> late_commits_;
--- a/tests/world_commands.cpp
+++ b/tests/world_commands.cpp
@@ -24,6 +24,10 @@
   } else if (line.word() == "nodes") {
     nodes_.resize(line.count());
     for (std::size_t n = 0; n < nodes_.size(); ++n) start_node(n);
+  } else if (line.word() == "state_limits") {
+    limits_ = StateLimits{line.count(), line.count()};
+  } else if (line.word() == "next_limits") {
+    next_limits_ = StateLimits{line.count(), line.count()};
   } else if (line.word() == "capacity") {
     const std::string type = line.text();
     capacity_[type] = static_cast<int>(line.count());
@@ -176,7 +180,10 @@
   if (options.contains("type")) job.spec.types = {{options["type"]}};
   job.run = option("run", 10);
   if (options.contains("fails")) job.fails_after = option("fails", 0);
+  std::istringstream needs(options["follows"]);
+  for (std::string need; std::getline(needs, need, ',');) job.spec.needs.emplace_back(need);
   job.submitted = job.known_at = t_;
+  if (job.spec.needs.empty()) job.ready_since = t_;
   submit(static_cast<std::size_t>(option("node", 0)), jobs_[job.spec.id] = job);
 }
 
