--- /dev/null
+++ b/tests/users_test.cpp
@@ -0,0 +1,170 @@
+// What users are answered about jobs that need others, with a state service that the test plays.
+#include "users.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "base/log.h"
+
+namespace saddleslip {
+
+namespace {
+
+using base::JobId;
+using protocol::Json;
+using protocol::StateClient;
+
+const JobId kNeed("run-000001"), kJob("run-000002"), kLast("run-000003");
+
+protocol::JobSpec spec(const JobId& id, std::vector<JobId> needs) {
+  protocol::JobSpec s;
+  s.id = id;
+  s.job_class = "c";
+  s.team = "t";
+  s.tasks = 1;
+  s.need.v = {1, 0, 1};
+  s.image = "img";
+  s.needs = std::move(needs);
+  return s;
+}
+
+class UsersOfPipelines : public ::testing::Test {
+ protected:
+  UsersOfPipelines()
+      : settings_(base::parse_settings(
+            R"({"member":"m-0","serve_on":"127.0.0.1:1","peer_listen":"127.0.0.1:2",
+                "endpoints":{"cloud":"127.0.0.1:4","state":"127.0.0.1:5"},
+                "settings":{"teams":[{"name":"t"}]}})")),
+        controller_(settings_),
+        users_(settings_, mutex_, controller_,
+               {[this] { return answers_; }, [this](const std::string& key) { return get(key); },
+                [this](const protocol::Transaction& txn) { return commit(txn); },
+                [] { return 1000.0; }, [] {}, [](const JobId&) {}}) {
+    spdlog::set_level(spdlog::level::off);
+    protocol::MachineType type;
+    type.name = "big";
+    type.size.v = {8, 0, 64};
+    apply(protocol::kCatalogueKey, to_json(std::vector{type}));
+  }
+
+  void apply(const std::string& key, const Json& value) {
+    controller_.ledger().apply({key, value, base::Version(++revision_)}, base::Time{});
+  }
+  void add_job(const protocol::JobSpec& s) {
+    protocol::JobRecord record;
+    record.spec = s;
+    apply(protocol::job_key(s.id), to_json(record));
+  }
+  StateClient::Got get(const std::string& key) {
+    ++reads_;
+    StateClient::Got got;
+    got.answered = answers_;
+    const auto at = store_.find(key);
+    if (at != store_.end()) got.item = {key, at->second, base::Version(1)};
+    return got;
+  }
+  StateClient::Committed commit(const protocol::Transaction& txn) {
+    StateClient::Committed done;
+    if (!answers_) {
+      done.outcome = StateClient::Outcome::kRefused;
+      return done;
+    }
+    done.outcome = StateClient::Outcome::kDone;
+    done.revision = base::Revision(++revision_);
+    for (const auto& write : txn.writes) store_[write.key] = write.value.value_or(Json());
+    return done;
+  }
+  transport::Reply submit(const protocol::JobSpec& s) {
+    return users_.submit(to_json(s).dump(), base::Time{});
+  }
+  static std::string status_of(const transport::Reply& reply) {
+    return Json::parse(reply.body).value("status", "");
+  }
+
+  base::Settings settings_;
+  std::mutex mutex_;
+  coordination::Controller controller_;
+  std::map<std::string, Json> store_;
+  bool answers_ = true;
+  int reads_ = 0;
+  std::uint64_t revision_ = 0;
+  Users users_;
+};
+
+}  // namespace
+
+TEST_F(UsersOfPipelines, OneThatWasNeverAcceptedIsRefused) {
+  EXPECT_EQ(submit(spec(kJob, {kNeed})).status, 422);
+  EXPECT_GT(reads_, 0) << "a copy that lags proves nothing";
+  EXPECT_EQ(submit(spec(kJob, {kJob})).status, 422) << "itself";
+}
+
+TEST_F(UsersOfPipelines, NothingIsSaidOfNeedsWithoutTheStore) {
+  answers_ = false;
+  const auto reply = submit(spec(kJob, {kNeed}));
+  EXPECT_EQ(reply.status, 503);
+  EXPECT_GT(reply.retry_after_s, 0);
+}
+
+// Over long ago: the copy has dropped its final state.
+TEST_F(UsersOfPipelines, AFinalStateInTheStoreWasAccepted) {
+  store_[protocol::final_key(kNeed)] = Json{{"f", "d"}};
+  const auto reply = submit(spec(kJob, {kNeed}));
+  EXPECT_EQ(reply.status, 201);
+  EXPECT_EQ(status_of(reply), "queued");
+}
+
+TEST_F(UsersOfPipelines, WhatNeedsACancelledJobIsAcceptedAndCancelled) {
+  store_[protocol::final_key(kNeed)] = Json{{"f", "w"}};
+  const auto reply = submit(spec(kJob, {kNeed}));
+  EXPECT_EQ(reply.status, 201);
+  EXPECT_EQ(status_of(reply), "withdrawn");
+  EXPECT_TRUE(store_.at(protocol::job_key(kJob)).value("w", false));
+}
+
+// Accepted stays accepted, whatever a repeated submission names.
+TEST_F(UsersOfPipelines, AnAcceptedJobIsNotRefusedForItsNeeds) {
+  add_job(spec(kJob, {}));
+  EXPECT_EQ(submit(spec(kJob, {kNeed})).status, 200);
+  store_[protocol::final_key(kLast)] = Json{{"f", "d"}};
+  EXPECT_EQ(submit(spec(kLast, {kNeed})).status, 200);
+}
+
+// Another node may have told that the job is cancelled. After a restart this one does not know how jobs ended
+// that were over before.
+TEST_F(UsersOfPipelines, ACancelledNeedIsReadBeforeTheAnswer) {
+  add_job(spec(kJob, {kNeed}));
+  add_job(spec(kLast, {kJob}));
+  store_[protocol::final_key(kNeed)] = Json{{"f", "w"}};
+  EXPECT_EQ(status_of(users_.status(kLast)), "withdrawn");
+}
+
+TEST_F(UsersOfPipelines, WaitingForOthersIsCalledQueued) {
+  add_job(spec(kNeed, {}));
+  add_job(spec(kJob, {kNeed}));
+  EXPECT_EQ(status_of(users_.status(kJob)), "queued");
+}
+
+TEST_F(UsersOfPipelines, MalformedNeeds) {
+  Json body = to_json(spec(kJob, {}));
+  body["follows"] = "run-000001";
+  EXPECT_EQ(users_.submit(body.dump(), base::Time{}).status, 400);
+  body["follows"] = {"run-000001", 7};
+  EXPECT_EQ(users_.submit(body.dump(), base::Time{}).status, 400);
+  body["follows"] = {"job-1"};
+  EXPECT_EQ(users_.submit(body.dump(), base::Time{}).status, 400);
+  for (const Json& none : {Json(), Json::array()}) {
+    body["follows"] = none;
+    body["name_id"] = "run-00010" + std::to_string(none.is_null());
+    EXPECT_EQ(users_.submit(body.dump(), base::Time{}).status, 201);
+  }
+}
+
+TEST_F(UsersOfPipelines, ARepeatedNeedCountsOnce) {
+  add_job(spec(kNeed, {}));
+  EXPECT_EQ(submit(spec(kJob, {kNeed, kNeed})).status, 201);
+  EXPECT_EQ(store_.at(protocol::job_key(kJob))["s"]["follows"], Json::array({kNeed.get()}));
+}
+
+}  // namespace saddleslip
--- a/tests/world.h
+++ b/tests/world.h
@@ -7,8 +7,10 @@
 //   workers REPORT_S LEASE_S (before nodes)
 //   team NAME LEAST MOST | operators SETTING: VALUE | nodes N | capacity TYPE N      (nodes after both)
 //   machine ID TYPE ZONE [spot] | machines N TYPE ZONE                       (TYPE: small, big)
-//   state_limits BYTES WRITES | next_limits BYTES WRITES (of a value and a transaction, as the settings of
-//     controllers that start from now on say of the state service, at once and from some moment on)
+//   state_limits BYTES WRITES | next_limits BYTES WRITES (of a value and a transaction: the state service's,
+//     at once and from some moment on; before nodes. Controllers of the version before keep to the former)
+//   upgrade NODE BACK_AFTER (it ends, and comes back with this version; with next_limits, nodes begin with
+//     the version before)
 //   submit ID KIND tasks= cores= memory= run= rank= team= class= deadline= estimate= node= type= zone=
 //     spot one_zone spread fails= (each task fails after so long) follows=ID,ID | cancel ID [node=] | repeat N EVERY COMMAND (# in it: a number of its own)
 //   run SECONDS
@@ -18,6 +20,7 @@
 //   crash NODE [BACK_AFTER] | freeze NODE SECONDS | cut A B | mend A B (nodes, state, workers, a machine,
 //     a zone) | state up|down | cloud up|down
 //   die|hang|wake|sick|deaf|hears|mute|speaks ID | some EVERY die|hang|wake | reboot ID SECONDS | notice ID SECONDS
+//   put KEY JSON (a record that no controller of this world wrote: damaged, or of another version)
 //   copies ID SECONDS | hold_orders SECONDS | lose_orders on|off | repeat_orders on|off
 //   slow_load NODE SECONDS (between reading the jobs and reading their tasks' records)
 //   lose_commit NODE | late_commit NODE SECONDS | watch_lag NODE SECONDS | unasked NODE
@@ -102,6 +105,7 @@
     std::unique_ptr<coordination::Controller> controller;
     std::unique_ptr<Users> users;
     std::unique_ptr<std::mutex> mutex;
+    bool upgraded = false;  // with next_limits: keeps to them, as the version before did not
     bool up = false, loaded = false, rung = true, beat_now = true;
     std::optional<base::LeaseId> lease;
     double next_beat = 0, next_round = 0, next_tell = 0, next_fleet = 0, busy_until = 0;
--- a/tests/world_commands.cpp
+++ b/tests/world_commands.cpp
@@ -48,7 +48,12 @@
 }
 
 bool World::trouble_controllers(CommandLine& line) {
-  if (line.word() == "freeze") {
+  if (line.word() == "upgrade") {
+    const std::size_t n = line.node();
+    nodes_[n].upgraded = true;
+    nodes_[n].up = false;
+    nodes_[n].back_at = t_ + line.number();
+  } else if (line.word() == "freeze") {
     // A controller stands still, its clocks run on; then it goes on where it was.
     const std::size_t n = line.node();
     nodes_[n].frozen_until = t_ + line.number();
@@ -89,6 +94,9 @@
   } else if (line.word() == "watch_lag") {
     const std::size_t n = line.node();
     watch_lag_[n] = line.number();
+  } else if (line.word() == "put") {
+    const std::string key = line.text();
+    write(key, Json::parse(line.rest()), 0, ++revision_);
   } else if (line.word() == "unasked") {
     unasked_.insert(line.node());
   } else {
--- a/tests/world_controllers.cpp
+++ b/tests/world_controllers.cpp
@@ -28,7 +28,7 @@
                 {"txn_ops", limits.writes}};
   };
   if (limits_) j["settings"]["state"] = section(*limits_);
-  if (next_limits_) j["settings"]["state"]["next"] = section(*next_limits_);
+  if (next_limits_ && node.upgraded) j["settings"]["state"]["next"] = section(*next_limits_);
   node.settings = base::parse_settings(j.dump());
   base::apply_tuning(node.settings, operators_);
   node.mutex = std::make_unique<std::mutex>();
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -77,4 +77,34 @@
             std::string::npos);
 }
 
+// A final record that no controller wrote says that a job is done, and what needs it begins.
+TEST(WholeDay, AStartBeforeWhatIsNeededIsTooEarly) {
+  const std::string day =
+      "nodes 2\nmachine m1 big a\nrun 8\n"
+      "submit run-000001 array run=30\nsubmit run-000002 array follows=run-000001\nrun 5\n";
+  EXPECT_EQ(failures_of(day), "");
+  EXPECT_NE(failures_of(day + "unasked n0\nunasked n1\nput s/f/run-000001 {\"f\":\"d\"}\nrun 8\n")
+                .find("too_early: run-000002/0"),
+            std::string::npos);
+}
+
+// A record that lost what its job needs, as a version that does not know of it would write it.
+TEST(WholeDay, AJobWhoseNeedIsCancelledMustNotBeCalledQueuedForLong) {
+  const std::string day =
+      "nodes 2\nmachine m1 small a\nrun 8\n"
+      "submit run-000001 array run=300\n"
+      "submit run-000002 array type=big follows=run-000001\nrun 5\n";
+  const std::string without_needs =
+      R"(put s/j/run-000002 {"at":1000,"s":{"name_id":"run-000002","herd":"c","drover":"t",)"
+      R"("gait":"array","rank":"standard","strides":1,"cores":1,"gpus":0,"memory_gb":1,)"
+      R"("breeds":["big"],"same_place":false,"apart":false,"strays":false,"brand":"img",)"
+      R"("image_gb":0,"ride_s":0,"waypoint_s":0,"unload_s":0}})"
+      "\ncrash n0 1\ncrash n1 1\nrun 10\n";
+  const std::string cancelled = "cancel run-000001\nrun 40\n";
+  EXPECT_EQ(failures_of(day + cancelled), "");
+  EXPECT_NE(
+      failures_of(day + without_needs + cancelled).find("orphaned: run-000002 is called queued"),
+      std::string::npos);
+}
+
 }  // namespace saddleslip::testing
