--- /dev/null
+++ b/bench/versions/records_tool.cpp
@@ -0,0 +1,198 @@
+// Writes a set of records as this version does, or says what this version reads from such a set. Compiled
+// against two versions of the library, it shows that each reads what the other writes: see check.sh.
+//
+//   records_tool write          lines of key, tab, JSON
+//   records_tool read < LINES   what was understood, one line a fact
+#include <cstdio>
+#include <iostream>
+#include <string>
+
+#include "bookkeeping/ledger.h"
+#include "coordination/intake.h"
+#include "protocol/records.h"
+
+namespace {
+
+using namespace saddleslip;
+using protocol::Json;
+
+constexpr double kTimeOfDay = 1'700'000'000.5;
+
+protocol::JobSpec job_spec(const std::string& id, protocol::TaskNo tasks) {
+  protocol::JobSpec spec;
+  spec.id = base::JobId(id);
+  spec.job_class = "train";
+  spec.team = "vision";
+  spec.rank = protocol::Rank::kUrgent;
+  spec.tasks = tasks;
+  spec.need.v = {2, 0, 6.4};
+  spec.types = {{"g8", "g16"}};
+  spec.zone = "a";
+  spec.spot = true;
+  spec.image = "img-07";
+  spec.image_gb = 1.5;
+  spec.estimate = base::Seconds(40);
+  spec.checkpoint = base::Seconds(20);
+  spec.save = base::Seconds(4);
+  spec.deadline = base::Seconds(120);
+  return spec;
+}
+
+Json accepted(const protocol::JobSpec& spec) {
+#ifdef SADDLESLIP_BEFORE_PIPELINES
+  const auto txn = coordination::acceptance(spec, kTimeOfDay, 3);
+#else
+  coordination::AcceptanceContext context;
+  context.time_of_day = kTimeOfDay;
+  context.parts = 3;
+  context.value_bytes = 2048;
+  const auto txn = coordination::acceptance(spec, context);
+#endif
+  return *txn.writes.at(0).value;
+}
+
+Json final_state(protocol::JobStatus status) {
+#ifdef SADDLESLIP_BEFORE_PIPELINES
+  return protocol::final_record(status);
+#else
+  return to_json(protocol::FinalState{status, kTimeOfDay});
+#endif
+}
+
+void print(const std::string& key, const Json& value) {
+  std::cout << key << '\t' << value.dump() << '\n';
+}
+
+void write() {
+  const auto few = job_spec("run-000001", 3);
+  auto many = job_spec("run-000002", 600);
+  many.one_zone = true;
+  print(protocol::job_key(few.id), accepted(few));
+  const Json record = accepted(many);
+  print(protocol::job_key(many.id), record);
+  protocol::JobRecord cancelled;
+  cancelled.spec = job_spec("run-000003", 1);
+  cancelled.cancelled = true;
+  print(protocol::job_key(cancelled.spec.id), to_json(cancelled));
+  const protocol::TaskNo size = protocol::parse_job(record)->chunk;
+  protocol::ChunkRecord chunk;
+  chunk.next = base::Attempt(7);
+  chunk.done.assign(size, false);
+  chunk.done[0] = chunk.done[1] = chunk.done[9] = true;
+  chunk.held[size + 2] = {base::MachineId("i-000231"), base::Attempt(5), base::Session(2)};
+  chunk.held[size + 3] = {base::MachineId("i-000232"), base::Attempt(6), base::Session(1)};
+  chunk.held[size + 4] = {base::MachineId("i-000232"), base::Attempt(6), base::Session(1)};
+  print(protocol::chunk_key(many.id, 1), to_json(chunk, size));
+  print(protocol::final_key(base::JobId("run-000004")), final_state(protocol::JobStatus::kDone));
+  print(protocol::final_key(base::JobId("run-000005")),
+        final_state(protocol::JobStatus::kCancelled));
+  const protocol::Life life{base::MemberId("stall-1"), base::Incarnation(42)};
+  print(protocol::member_key(life.member), to_json(protocol::Member{life, true}));
+  print(protocol::kLeadKey, to_json(life));
+  protocol::View view;
+  view.epoch = base::Epoch(9);
+  view.members = {life, {base::MemberId("stall-2"), base::Incarnation(43)}};
+  view.pins[base::MachineId("i-000231")] = base::MemberId("stall-2");
+  print(protocol::kViewKey, to_json(view));
+  print(protocol::claim_key(base::MachineId("i-000233")), to_json(life));
+  print(protocol::kFleetKey, to_json(std::vector<protocol::Booting>{{base::MachineId("i-000240"),
+                                                                     "g8", "a", true, kTimeOfDay}},
+                                     1024));
+  protocol::MachineType type;
+  type.name = "g8";
+  type.size.v = {8, 0, 64};
+  type.price = 0.5;
+  type.zones = {"a", "b"};
+  print(protocol::kCatalogueKey, to_json(std::vector{type}));
+  protocol::MemberStatus status;
+  status.from = life;
+  status.has_state = true;
+  status.upto = 3;
+  protocol::MachineRoom room;
+  room.id = base::MachineId("i-000231");
+  room.type = "g8";
+  room.zone = "a";
+  room.free.v = {4, 0, 32};
+  room.tasks = 2;
+  room.images = {"img-07"};
+  status.machines = {room};
+  status.claims = {base::MachineId("i-000233")};
+  status.contact = protocol::WorkerContact::kLost;
+  print("message/status", to_json(status, base::Time{}));
+  protocol::Offers offers;
+  offers.from = life;
+  offers.epoch = view.epoch;
+  offers.offers = {{few.id, {{0, 2}}}};
+  print("message/offers", to_json(offers));
+}
+
+void read_message(const std::string& key, const Json& value) {
+  if (key == "message/status") {
+    const auto s = protocol::parse_status(value, base::Time{});
+    std::cout << key << ' ' << s->from.member.get() << ' ' << s->machines.size() << ' '
+              << s->machines[0].free.cores() << ' ' << s->claims.size() << ' '
+              << (s->contact == protocol::WorkerContact::kLost) << '\n';
+  } else {
+    const auto o = protocol::parse_offers(value);
+    std::cout << key << ' ' << o->epoch.get() << ' ' << o->offers[0].job.get() << ' '
+              << o->offers[0].ranges[0].second << '\n';
+  }
+}
+
+void print_jobs(const bookkeeping::Ledger& ledger) {
+  for (const auto& [id, job] : ledger.jobs()) {
+    const auto& spec = job.record.spec;
+    std::cout << "job " << id.get() << " class " << spec.job_class << " tasks " << spec.tasks
+              << " memory " << spec.need.memory() << " deadline " << spec.deadline->count()
+              << " submitted " << job.record.submitted << " cancelled " << job.cancelled()
+              << " done " << job.done << " held " << job.held << '\n';
+    for (const auto& chunk : job.chunks) {
+      for (const auto& [no, held] : chunk.record.held) {
+        std::cout << "held " << id.get() << ' ' << (no - job.chunk_first(1)) << " of record 1 by "
+                  << held.machine.get() << " attempt " << held.attempt.get() << " session "
+                  << held.session.get() << " next " << chunk.record.next.get() << '\n';
+      }
+    }
+  }
+}
+
+void read() {
+  std::cout.precision(12);
+  base::Settings settings;
+  bookkeeping::Ledger ledger(settings);
+  std::uint64_t version = 0;
+  for (std::string line; std::getline(std::cin, line);) {
+    const auto tab = line.find('\t');
+    const std::string key = line.substr(0, tab);
+    const Json value = Json::parse(line.substr(tab + 1));
+    if (key.starts_with("message/")) {
+      read_message(key, value);
+    } else {
+      ledger.apply({key, value, base::Version(++version)}, base::Time{});
+    }
+  }
+  print_jobs(ledger);
+  for (const char* id : {"run-000004", "run-000005"}) {
+    std::cout << "final " << id << ' ' << ledger.final_state(base::JobId(id)).has_value() << '\n';
+  }
+  const auto& view = *ledger.view();
+  std::cout << "view " << view.epoch.get() << ' ' << view.members.size() << ' ' << view.pins.size()
+            << " leader " << ledger.leader()->life.get() << " members " << ledger.members().size()
+            << " claims " << ledger.claims().size() << " booting " << ledger.booting().size() << ' '
+            << ledger.booting()[0].type << " types " << ledger.catalogue().size() << '\n';
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::string mode = argc > 1 ? argv[1] : "";
+  if (mode == "write") {
+    write();
+  } else if (mode == "read") {
+    read();
+  } else {
+    std::cerr << "usage: records_tool write|read\n";
+    return 2;
+  }
+  return 0;
+}
