--- a/bench/versions/records_tool.cpp
+++ b/bench/versions/records_tool.cpp
@@ -46,7 +46,7 @@
   context.time_of_day = kTimeOfDay;
   context.parts = 3;
   context.value_bytes = 2048;
-  const auto txn = coordination::acceptance(spec, context);
+  const auto txn = coordination::acceptance(coordination::accepted_record(spec, context));
 #endif
   return *txn.writes.at(0).value;
 }
--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -51,6 +51,8 @@
     put_job(item, now);
   } else if (key.starts_with(protocol::kChunks)) {
     put_chunk(item, now);
+  } else if (key.starts_with(protocol::kNeeds)) {
+    put_need_list(item);
   } else if (key.starts_with(protocol::kMembers)) {
     const MemberId member(key.substr(protocol::kMembers.size()));
     if (const auto record = protocol::parse_member(item.value)) {
@@ -117,15 +119,13 @@
     if (at == jobs_.end()) return;
     uncount(at->second);
     dependencies_.remove(id);
-    for (std::size_t c = 0; c < at->second.chunks.size(); ++c) {
-      const std::string key = protocol::chunk_key(id, static_cast<std::uint32_t>(c));
-      if (const auto v = versions_.find(key); v != versions_.end()) orphans_[key] = v->second;
-    }
+    orphan_records_of(at->second);
     job_index_.erase(id);
     jobs_.erase(at);
     return;
   }
   if (at != jobs_.end()) {
+    if (record->need_lists) record->spec.needs = std::move(at->second.record.spec.needs);
     at->second.record = std::move(*record);
     at->second.version = item.version;
     stamp_holders(at->second);
@@ -143,10 +143,63 @@
   }
   Job& added = jobs_.emplace(id, std::move(job)).first->second;
   job_index_[id] = &added;
-  link_needs(added);
+  added.waits = !take_need_lists(added);
+  if (!added.waits) link_needs(added);
   if (added.cancelled_on_record()) cancel_dependents(id);
 }
 
+void Ledger::orphan_records_of(const Job& job) {
+  const JobId& id = job.record.spec.id;
+  std::vector<std::string> keys;
+  for (std::size_t c = 0; c < job.chunks.size(); ++c)
+    keys.push_back(protocol::chunk_key(id, static_cast<std::uint32_t>(c)));
+  if (const auto& lists = job.record.need_lists) {
+    keys.push_back(protocol::need_lists_key(id));
+    for (std::size_t i = 0; i < lists->count; ++i)
+      keys.push_back(protocol::need_list_key(id, lists->set, i));
+  }
+  for (const std::string& key : keys) {
+    need_lists_.erase(key);
+    if (const auto v = versions_.find(key); v != versions_.end()) orphans_[key] = v->second;
+  }
+}
+
+void Ledger::put_need_list(const Item& item) {
+  orphans_.erase(item.key);
+  const auto id = protocol::job_of_need_key(item.key);
+  // The record that only names the set tells nothing that the job's own does not.
+  if (!id || item.key == protocol::need_lists_key(*id) || !item.value.is_array()) return;
+  std::vector<JobId>& list = need_lists_[item.key];
+  list.clear();
+  for (const protocol::Json& need : item.value) {
+    if (need.is_string()) list.emplace_back(need.get<std::string>());
+  }
+  const auto at = jobs_.find(*id);
+  if (at == jobs_.end() || !at->second.record.need_lists) return;
+  Job& job = at->second;
+  if (!job.record.spec.needs.empty() || !take_need_lists(job)) return;
+  link_needs(job);
+  if (job.cancelled_on_record()) cancel_dependents(*id);
+  if (!job.waits) ++jobs_made_ready_;
+}
+
+bool Ledger::take_need_lists(Job& job) {
+  const auto& lists = job.record.need_lists;
+  if (!lists) return true;
+  const JobId& id = job.record.spec.id;
+  std::vector<JobId> needs;
+  for (std::size_t i = 0; i < lists->count; ++i) {
+    const auto list = need_lists_.find(protocol::need_list_key(id, lists->set, i));
+    if (list == need_lists_.end()) return false;
+    needs.insert(needs.end(), list->second.begin(), list->second.end());
+  }
+  for (std::size_t i = 0; i < lists->count; ++i)
+    need_lists_.erase(protocol::need_list_key(id, lists->set, i));
+  job.record.spec.needs = std::move(needs);
+  ++job_changes_;
+  return true;
+}
+
 void Ledger::link_needs(Job& job) {
   const JobId& id = job.record.spec.id;
   std::vector<JobId> open;
@@ -270,6 +323,7 @@
   removed_.clear();
   orphans_.clear();
   dependencies_.clear();
+  need_lists_.clear();
   view_.reset();
   leader_.reset();
   members_.clear();
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -138,10 +138,16 @@
   const std::vector<MachineType>& catalogue() const { return catalogue_; }
   const MachineType* type(const std::string& name) const;
   const std::vector<protocol::Booting>& booting() const { return booting_; }
+  // Records of jobs that are over.
   const std::map<std::string, Version>& orphans() const { return orphans_; }
 
  private:
   void put_job(const Item& item, Time now);
+  void put_need_list(const Item& item);
+  // Takes in the jobs that the job needs from lists of their own. False: some have not been read yet.
+  bool take_need_lists(Job& job);
+  // What is kept of a job besides its record: to be removed once the job is over.
+  void orphan_records_of(const Job& job);
   // Relates a job that is new here to those that it needs.
   void link_needs(Job& job);
   // The job is cancelled on record: so is all that depends on it.
@@ -167,6 +173,8 @@
   std::unordered_map<JobId, FinalState> finals_;       // bounded: the latest ones
   std::deque<JobId> finals_order_;
   Dependencies dependencies_;
+  std::map<std::string, std::vector<JobId>>
+      need_lists_;  // by key, until their job has taken them in
   std::uint64_t jobs_made_ready_ = 0;
   std::optional<View> view_;
   std::optional<Life> leader_;
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -6,9 +6,17 @@
 
 namespace saddleslip::coordination {
 
+using base::JobId;
 using protocol::Kind;
 using protocol::Transaction;
 
+namespace {
+
+constexpr std::size_t kMostListsAtOnce =
+    3;  // a transaction holds 64 KiB in all, a list up to 16 KiB
+
+}  // namespace
+
 std::optional<std::string> never_runs(const protocol::JobSpec& spec, const base::Settings& settings,
                                       const std::vector<protocol::MachineType>& catalogue) {
   const auto team = settings.teams.find(spec.team);
@@ -31,20 +39,51 @@
   return {};
 }
 
-Transaction acceptance(const protocol::JobSpec& spec, const AcceptanceContext& context) {
+protocol::JobRecord accepted_record(const protocol::JobSpec& spec,
+                                    const AcceptanceContext& context) {
   protocol::JobRecord record;
   record.spec = spec;
   record.submitted = context.time_of_day;
   record.cancelled = context.need_cancelled;
   record.chunk = protocol::chunk_size(spec.tasks, context.parts, context.value_bytes);
+  // A cancellation is written into the record later.
+  protocol::JobRecord largest = record;
+  largest.cancelled = true;
+  if (!spec.needs.empty() && to_json(largest).dump().size() > context.value_bytes)
+    record.need_lists =
+        protocol::name_need_lists(protocol::split_needs(spec.needs, context.value_bytes));
+  return record;
+}
+
+Transaction acceptance(const protocol::JobRecord& record, base::Version lists) {
+  const JobId& id = record.spec.id;
   Transaction txn;
   // Neither live nor over: an id is accepted once, whichever nodes its retries reach.
-  txn.guards[protocol::job_key(spec.id)] = base::Version(0);
-  txn.guards[protocol::final_key(spec.id)] = base::Version(0);
-  txn.writes.push_back({protocol::job_key(spec.id), to_json(record), {}});
+  txn.guards[protocol::job_key(id)] = base::Version(0);
+  txn.guards[protocol::final_key(id)] = base::Version(0);
+  if (record.need_lists) txn.guards[protocol::need_lists_key(id)] = lists;
+  txn.writes.push_back({protocol::job_key(id), to_json(record), {}});
   return txn;
 }
 
+std::vector<Transaction> need_list_writes(const protocol::JobRecord& record, base::Version lists,
+                                          const base::Settings& settings) {
+  std::vector<Transaction> out;
+  const JobId& id = record.spec.id;
+  const std::size_t most = std::min<std::size_t>(settings.txn_ops, kMostListsAtOnce);
+  const std::vector<protocol::Json> values =
+      protocol::split_needs(record.spec.needs, settings.value_bytes);
+  for (std::size_t i = 0; i < values.size(); ++i) {
+    if (i % most == 0) {
+      out.emplace_back();
+      out.back().guards[protocol::need_lists_key(id)] = lists;
+    }
+    out.back().writes.push_back(
+        {protocol::need_list_key(id, record.need_lists->set, i), values[i], {}});
+  }
+  return out;
+}
+
 Transaction cancellation(const protocol::JobRecord& job, base::Version version) {
   protocol::JobRecord next = job;
   next.cancelled = true;
--- a/src/coordination/intake.h
+++ b/src/coordination/intake.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "bookkeeping/ledger.h"
 
@@ -19,7 +20,16 @@
   std::size_t value_bytes = 0;  // the most that a value of the store holds
   bool need_cancelled = false;  // a job that it needs is cancelled, and so is this one
 };
-protocol::Transaction acceptance(const protocol::JobSpec& spec, const AcceptanceContext& context);
+// The record that an accepted job gets; the jobs that it needs are kept apart if they do not fit.
+protocol::JobRecord accepted_record(const protocol::JobSpec& spec,
+                                    const AcceptanceContext& context);
+// Commits it. `lists` is the version of the record that names its need lists, if it has such.
+protocol::Transaction acceptance(const protocol::JobRecord& record, base::Version lists = {});
+// The lists of what a job needs, in transactions that the store takes. All of them are committed before the
+// job's own record: what is accepted is complete.
+std::vector<protocol::Transaction> need_list_writes(const protocol::JobRecord& record,
+                                                    base::Version lists,
+                                                    const base::Settings& settings);
 protocol::Transaction cancellation(const protocol::JobRecord& job, base::Version version);
 
 // Adds what moves a job that is over out of the way.
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -750,8 +750,9 @@
     if (txn.writes.size() >= settings_.txn_ops) break;
     txn.guards[key] = version;
     // Only what belongs to no job: one that this copy has not heard of yet is not over.
-    if (const auto name = protocol::parse_chunk_key(key))
-      txn.guards[protocol::job_key(name->job)] = Version(0);
+    const auto chunk = protocol::parse_chunk_key(key);
+    const auto job = chunk ? chunk->job : protocol::job_of_need_key(key);
+    if (job) txn.guards[protocol::job_key(*job)] = Version(0);
     txn.writes.push_back({key, {}, {}});
   }
   if (txn.writes.empty()) return {};
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -362,8 +362,8 @@
   std::vector<protocol::Item> items;
   base::Revision from;
   bool first = true;
-  for (const std::string& prefix : {protocol::kMembers, protocol::kClaims, protocol::kJobs,
-                                    protocol::kChunks, protocol::kTeams}) {
+  for (const std::string& prefix : {protocol::kMembers, protocol::kClaims, protocol::kNeeds,
+                                    protocol::kJobs, protocol::kChunks, protocol::kTeams}) {
     std::string after;
     for (;;) {
       auto page = state_.list(prefix, after, Seconds(5.0));
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -87,18 +87,17 @@
 
 // The jobs that a submission needs, each once, in the order in which they are named first.
 std::vector<JobId> parse_needs(Reader& reader) {
-  constexpr const char* kField = "follows";
   std::vector<JobId> needs;
-  const Json* list = reader.find(kField);
+  const Json* list = reader.find(kNeedsField);
   if (!list || list->is_null()) return needs;
   if (!list->is_array()) {
-    reader.fail(kField, "must be null or an array of job ids");
+    reader.fail(kNeedsField, "must be null or an array of job ids");
     return needs;
   }
   std::set<JobId> named;
   for (const Json& entry : *list) {
     if (!entry.is_string() || !valid_job_id(entry.get_ref<const std::string&>())) {
-      reader.fail(kField, "must hold job ids of the form run-000412");
+      reader.fail(kNeedsField, "must hold job ids of the form run-000412");
       return {};
     }
     JobId id(entry.get<std::string>());
@@ -142,7 +141,7 @@
   if (s.types) j["breeds"] = *s.types;
   if (s.zone) j["paddock"] = *s.zone;
   if (s.deadline) j["sundown_s"] = s.deadline->count();
-  if (!s.needs.empty()) j["follows"] = ids_to_json(s.needs);
+  if (!s.needs.empty()) j[kNeedsField] = ids_to_json(s.needs);
   return j;
 }
 
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -82,6 +82,8 @@
 
 // Where users submit jobs; a job's own path is this, a slash and its id.
 inline const std::string kSubmissionsPath = "/submissions";
+// Of a submission: the jobs that it needs.
+inline constexpr const char* kNeedsField = "follows";
 // Behind a job's path: its cancellation.
 inline const std::string kCancelSuffix = "/withdraw";
 
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -3,6 +3,9 @@
 //   s/j/<job>            a job that is not over: what it asks, and whether it was cancelled
 //   s/t/<job>/<chunk>    its tasks' ranges: done, and held by machines (a chunk is as many tasks as
 //                        the job's record says)
+//   s/n/<job>            which set of lists names the jobs that it needs, if these do not fit into its record;
+//                        written before the job's own record, which guards its version
+//   s/n/<job>/<set>/<i>  one of the lists of that set
 //   s/f/<job>            a job that is over, for good
 //   s/q/<team>           written with each start for a team with a limit: puts the starts in a row
 //   s/q/job/<job>        the same for a job of several chunks whose tasks share or avoid zones
@@ -40,6 +43,7 @@
 inline const std::string kFleetKey = "s/fleet";
 inline const std::string kJobs = "s/j/";
 inline const std::string kChunks = "s/t/";
+inline const std::string kNeeds = "s/n/";
 inline const std::string kFinals = "s/f/";
 inline const std::string kMembers = "s/m/";
 inline const std::string kTeams = "s/q/";
@@ -78,9 +82,26 @@
   std::vector<Put> writes;
 };
 
+// The lists that name the jobs that a job needs, kept apart from its record. The set's name stands for what
+// is in them: lists of two submissions of one id are never mixed up.
+struct NeedLists {
+  std::string set;
+  std::size_t count = 0;
+};
+std::string need_lists_key(const JobId& id);
+std::string need_list_key(const JobId& id, const std::string& set, std::size_t number);
+// The job that a key of its need lists is for.
+std::optional<JobId> job_of_need_key(const std::string& key);
+// The lists' values, each of so many bytes at most.
+std::vector<Json> split_needs(const std::vector<JobId>& needs, std::size_t most_bytes);
+// Names the set by its content.
+NeedLists name_need_lists(const std::vector<Json>& lists);
+Json to_json(const NeedLists& lists);
+
 struct JobRecord {
   JobSpec spec;
-  double submitted = 0;  // by the time of day of the node that accepted it
+  std::optional<NeedLists> need_lists;  // where spec.needs is kept, if not here
+  double submitted = 0;                 // by the time of day of the node that accepted it
   bool cancelled = false;
   TaskNo chunk = kMostChunk;  // tasks that share a record
 
--- a/src/users.cpp
+++ b/src/users.cpp
@@ -160,7 +160,40 @@
   context.parts = static_cast<std::size_t>(std::max(1, settings_.size));
   context.value_bytes = settings_.value_bytes;
   context.need_cancelled = needs.cancelled;
-  const Transaction txn = coordination::acceptance(spec, context);
+  return accept(coordination::accepted_record(spec, context), now);
+}
+
+// What it needs is written first, then the record that makes it accepted.
+std::optional<Version> Users::write_need_lists(const protocol::JobRecord& record) {
+  const std::string key = protocol::need_lists_key(record.spec.id);
+  const auto before = store_.get(key);
+  if (!before.answered) return {};
+  Version version = before.item.version;
+  const Json value = to_json(*record.need_lists);
+  if (version.get() == 0 || before.item.value != value) {
+    Transaction txn;
+    txn.guards[key] = version;
+    txn.writes.push_back({key, value, {}});
+    const auto done = store_.commit(txn);
+    if (done.outcome != Outcome::kDone) return {};
+    version = Version(done.revision.get());
+  }
+  for (const Transaction& txn : coordination::need_list_writes(record, version, settings_)) {
+    if (store_.commit(txn).outcome != Outcome::kDone) return {};
+  }
+  return version;
+}
+
+Reply Users::accept(const protocol::JobRecord& record, Time now) {
+  const protocol::JobSpec& spec = record.spec;
+  Version lists;
+  if (record.need_lists) {
+    const auto written = write_need_lists(record);
+    if (!written) return try_later("the state service did not take what the job needs");
+    lists = *written;
+  }
+  Reply reply;
+  const Transaction txn = coordination::acceptance(record, lists);
   const auto done = store_.commit(txn);
   switch (done.outcome) {
     case Outcome::kDone:
@@ -171,8 +204,8 @@
       store_.changed();
       spdlog::debug("{} accepted", spec.id.get());
       return {201,
-              protocol::user_status(spec.id, needs.cancelled ? protocol::JobStatus::kCancelled
-                                                             : protocol::JobStatus::kQueued),
+              protocol::user_status(spec.id, record.cancelled ? protocol::JobStatus::kCancelled
+                                                              : protocol::JobStatus::kQueued),
               0};
     case Outcome::kRefused:
       return try_later("the state service is over its limit or out of service");
--- a/src/users.h
+++ b/src/users.h
@@ -46,6 +46,9 @@
     bool cancelled = false;  // one of them is cancelled, and so is what needs it
   };
   Needs look_up_needs(const protocol::JobSpec& spec);
+  transport::Reply accept(const protocol::JobRecord& record, base::Time now);
+  // The version of the record that names the lists; none: they are not all written.
+  std::optional<base::Version> write_need_lists(const protocol::JobRecord& record);
 
   template <class F>
   auto locked(F f) {
--- a/tests/users_test.cpp
+++ b/tests/users_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 
 #include "base/log.h"
@@ -35,7 +36,7 @@
       : settings_(base::parse_settings(
             R"({"member":"m-0","serve_on":"127.0.0.1:1","peer_listen":"127.0.0.1:2",
                 "endpoints":{"cloud":"127.0.0.1:4","state":"127.0.0.1:5"},
-                "settings":{"teams":[{"name":"t"}]}})")),
+                "settings":{"teams":[{"name":"t"}],"state":{"value_kb":2,"txn_ops":4}}})")),
         controller_(settings_),
         users_(settings_, mutex_, controller_,
                {[this] { return answers_; }, [this](const std::string& key) { return get(key); },
@@ -70,9 +71,21 @@
       done.outcome = StateClient::Outcome::kRefused;
       return done;
     }
+    EXPECT_LE(txn.writes.size(), settings_.txn_ops);
+    EXPECT_LE(txn.guards.size(), settings_.txn_ops * protocol::kGuardsPerWrite);
+    for (const auto& write : txn.writes)
+      EXPECT_LE(write.value->dump().size(), settings_.value_bytes);
+    if (commits_left_ == 0) {
+      done.outcome = StateClient::Outcome::kUnknown;
+      return done;
+    }
+    --commits_left_;
     done.outcome = StateClient::Outcome::kDone;
     done.revision = base::Revision(++revision_);
-    for (const auto& write : txn.writes) store_[write.key] = write.value.value_or(Json());
+    for (const auto& write : txn.writes) {
+      store_[write.key] = write.value.value_or(Json());
+      written_.push_back(write.key);
+    }
     return done;
   }
   transport::Reply submit(const protocol::JobSpec& s) {
@@ -86,7 +99,9 @@
   std::mutex mutex_;
   coordination::Controller controller_;
   std::map<std::string, Json> store_;
+  std::vector<std::string> written_;
   bool answers_ = true;
+  int commits_left_ = 1000;
   int reads_ = 0;
   std::uint64_t revision_ = 0;
   Users users_;
@@ -167,4 +182,49 @@
   EXPECT_EQ(store_.at(protocol::job_key(kJob))["s"]["follows"], Json::array({kNeed.get()}));
 }
 
+// As many as a body of 64 KiB holds are kept, in values of 2 KiB, in whichever order another node reads them.
+TEST_F(UsersOfPipelines, ALongListOfNeedsIsKeptApart) {
+  std::vector<JobId> needs;
+  for (int i = 0; i < 4500; ++i) {
+    needs.emplace_back("run-" + std::to_string(200000 + i));
+    controller_.ledger().remember_final(needs.back(), {});
+  }
+  const auto s = spec(kJob, needs);
+  ASSERT_LT(to_json(s).dump().size(), 64u << 10);
+  EXPECT_EQ(submit(s).status, 201);
+  EXPECT_EQ(written_.back(), protocol::job_key(kJob)) << "accepted before all lists are written";
+  for (const bool job_first : {false, true}) {
+    bookkeeping::Ledger other(settings_);
+    std::vector<std::string> keys = written_;
+    if (job_first) std::reverse(keys.begin(), keys.end());
+    std::uint64_t version = 0;
+    for (const std::string& key : keys) {
+      if (other.job(kJob) && key != keys.back()) {
+        EXPECT_TRUE(other.job(kJob)->waits);
+      }
+      other.apply({key, store_.at(key), base::Version(++version)}, base::Time{});
+    }
+    EXPECT_EQ(other.job(kJob)->record.spec.needs, needs);
+    EXPECT_EQ(other.dependencies().open_needs(kJob).size(), needs.size());
+    EXPECT_TRUE(other.job(kJob)->waits);
+    // All of it goes once the job is over.
+    other.apply({protocol::job_key(kJob), Json(), base::Version(++version)}, base::Time{});
+    EXPECT_EQ(other.orphans().size(), keys.size() - 1);
+  }
+}
+
+// A node that ends before all lists are written has accepted nothing; the next try completes them.
+TEST_F(UsersOfPipelines, ListsThatAreNotAllWrittenAcceptNothing) {
+  std::vector<JobId> needs;
+  for (int i = 0; i < 1000; ++i) {
+    needs.emplace_back("run-" + std::to_string(200000 + i));
+    controller_.ledger().remember_final(needs.back(), {});
+  }
+  commits_left_ = 2;
+  EXPECT_EQ(submit(spec(kJob, needs)).status, 503);
+  EXPECT_FALSE(store_.contains(protocol::job_key(kJob)));
+  commits_left_ = 1000;
+  EXPECT_EQ(submit(spec(kJob, needs)).status, 201);
+}
+
 }  // namespace saddleslip
