Chunks that no value holds any more are divided, once all controllers read pieces

A record that production wrote for up to 256 tasks can't be rewritten in 2 KiB before most of them have ended. The job's record now says that its chunks are divided; pieces without a record of their own are as the chunk's says. Not before every configured controller has said that it reads this.

--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -40,6 +40,8 @@
       orphan = std::max(orphan, item.version);
       return true;
     }
+    // Likewise a piece that is read before the record that divides its job's chunks.
+    if (name->is_piece && job_index_.at(name->job)->record.piece == 0) return true;
   }
   if (removal) {
     if (known != versions_.end()) versions_.erase(known);
@@ -69,6 +71,8 @@
     }
   } else if (key == protocol::kViewKey) {
     view_ = protocol::parse_view(item.value);
+  } else if (key == protocol::kFormatKey) {
+    format_ = item.value.is_number_unsigned() ? item.value.get<std::uint64_t>() : 1;
   } else if (key == protocol::kLeadKey) {
     leader_ = protocol::parse_life(item.value);
   } else if (key == protocol::kCatalogueKey) {
@@ -128,6 +132,7 @@
     if (record->need_lists) record->spec.needs = std::move(at->second.record.spec.needs);
     at->second.record = std::move(*record);
     at->second.version = item.version;
+    if (at->second.record.piece != 0 && at->second.whole.empty()) divide(at->second, now);
     stamp_holders(at->second);
     if (at->second.record.cancelled) cancel_dependents(id);
     return;
@@ -139,7 +144,12 @@
   job.chunks.resize(job.record.chunks());
   for (std::size_t c = 0; c < job.chunks.size(); ++c) {
     job.chunks[c].record.done.assign(job.chunk_size(c), false);
-    orphans_.erase(protocol::chunk_key(id, static_cast<std::uint32_t>(c)));
+    orphans_.erase(job.record.record_key(static_cast<std::uint32_t>(c)));
+  }
+  if (job.record.piece != 0) {
+    job.whole.resize((job.record.spec.tasks + job.record.chunk - 1) / job.record.chunk);
+    for (std::size_t c = 0; c < job.whole.size(); ++c)
+      orphans_.erase(protocol::chunk_key(id, static_cast<std::uint32_t>(c)));
   }
   Job& added = jobs_.emplace(id, std::move(job)).first->second;
   job_index_[id] = &added;
@@ -152,6 +162,8 @@
   const JobId& id = job.record.spec.id;
   std::vector<std::string> keys;
   for (std::size_t c = 0; c < job.chunks.size(); ++c)
+    keys.push_back(job.record.record_key(static_cast<std::uint32_t>(c)));
+  for (std::size_t c = 0; c < job.whole.size(); ++c)
     keys.push_back(protocol::chunk_key(id, static_cast<std::uint32_t>(c)));
   if (const auto& lists = job.record.need_lists) {
     keys.push_back(protocol::need_lists_key(id));
@@ -272,20 +284,64 @@
   if (!name) return;
   orphans_.erase(item.key);
   const auto at = jobs_.find(name->job);
-  if (at == jobs_.end() || name->chunk >= at->second.chunks.size()) return;
+  if (at == jobs_.end()) return;
   Job& job = at->second;
-  Chunk& chunk = job.chunks[name->chunk];
-  auto record =
-      protocol::parse_chunk(item.value, job.chunk_first(name->chunk), job.chunk_size(name->chunk));
+  const bool is_whole = !name->is_piece && job.record.piece != 0;
+  if (name->is_piece && job.record.piece == 0) return;
+  if (name->chunk >= (is_whole ? job.whole.size() : job.chunks.size())) return;
+  const TaskNo first = is_whole ? name->chunk * job.record.chunk : job.chunk_first(name->chunk);
+  const TaskNo count = is_whole ? std::min(job.record.chunk, job.record.spec.tasks - first)
+                                : job.chunk_size(name->chunk);
+  auto record = protocol::parse_chunk(item.value, first, count);
   if (!record) {
     spdlog::error("{} in the store can't be read", item.key);
     return;
   }
+  const Version version = item.value.is_null() ? Version(0) : item.version;
+  if (is_whole) {
+    job.whole[name->chunk] = {std::move(*record), version};
+    derive_pieces(job, name->chunk, now);
+  } else {
+    replace(job, name->chunk, std::move(*record), version, now);
+  }
+}
+
+void Ledger::divide(Job& job, Time now) {
+  job.whole = std::move(job.chunks);
+  job.chunks.clear();
+  job.chunks.resize(job.record.chunks());
+  for (std::size_t c = 0; c < job.chunks.size(); ++c)
+    job.chunks[c].record.done.assign(job.chunk_size(c), false);
+  for (const Chunk& c : job.whole) {
+    for (const auto& [no, held] : c.record.held) count(job, no, held, -1);
+  }
+  job.held = 0;
+  job.done = 0;
+  for (std::uint32_t c = 0; c < job.whole.size(); ++c) derive_pieces(job, c, now);
+}
+
+void Ledger::derive_pieces(Job& job, std::uint32_t chunk, Time now) {
+  const ChunkRecord& whole = job.whole[chunk].record;
+  const std::uint32_t pieces = job.record.pieces_of_chunk();
+  for (std::uint32_t i = chunk * pieces; i < (chunk + 1) * pieces && i < job.chunks.size(); ++i) {
+    if (job.chunks[i].version.get() != 0) continue;
+    const TaskNo first = job.chunk_first(i), count = job.chunk_size(i);
+    const TaskNo offset = first - chunk * job.record.chunk;
+    ChunkRecord piece;
+    piece.next = whole.next;
+    piece.done.assign(whole.done.begin() + offset, whole.done.begin() + offset + count);
+    piece.held.insert(whole.held.lower_bound(first), whole.held.lower_bound(first + count));
+    replace(job, i, std::move(piece), Version(0), now);
+  }
+}
+
+void Ledger::replace(Job& job, std::size_t number, ChunkRecord record, Version version, Time now) {
+  Chunk& chunk = job.chunks[number];
   // Only the tasks whose holder changed: a record of many tasks is written for a few of them, and
   // each machine that is touched here is worked out anew.
   auto was = chunk.record.held.begin();
   const auto was_end = chunk.record.held.end();
-  for (const auto& [no, held] : record->held) {
+  for (const auto& [no, held] : record.held) {
     for (; was != was_end && was->first < no; ++was) count(job, was->first, was->second, -1);
     if (was != was_end && was->first == no) {
       const bool same = was->second == held;
@@ -298,8 +354,8 @@
   for (; was != was_end; ++was) count(job, was->first, was->second, -1);
   job.held -= static_cast<TaskNo>(chunk.record.held.size());
   job.done -= chunk.record.done_count();
-  chunk.record = std::move(*record);
-  chunk.version = item.value.is_null() ? Version(0) : item.version;
+  chunk.record = std::move(record);
+  chunk.version = version;
   job.moved = now;
   job.held += static_cast<TaskNo>(chunk.record.held.size());
   job.done += chunk.record.done_count();
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -44,7 +44,10 @@
 struct Job {
   JobRecord record;
   Version version;
-  std::vector<Chunk> chunks;
+  std::vector<Chunk> chunks;  // or pieces of them, if the record says so
+  // The chunks' own records, since they are divided: nothing starts by these any more. A piece without a
+  // record is as they say.
+  std::vector<Chunk> whole;
   TaskNo done = 0;
   TaskNo held = 0;
   Time seen{};   // when this process first saw it
@@ -67,15 +70,15 @@
   // Since when its tasks could have started, by the time of day.
   double startable_since() const { return std::max(record.submitted, ready_at); }
 
-  TaskNo chunk_first(std::size_t c) const { return static_cast<TaskNo>(c) * record.chunk; }
-  TaskNo chunk_size(std::size_t c) const {
-    return std::min(record.chunk, record.spec.tasks - chunk_first(c));
+  TaskNo chunk_first(std::size_t c) const {
+    return record.first_task(static_cast<std::uint32_t>(c));
   }
+  TaskNo chunk_size(std::size_t c) const { return record.tasks_of(static_cast<std::uint32_t>(c)); }
   // Tasks that could start now.
   TaskNo pending() const { return cancelled() || waits ? 0 : record.spec.tasks - done - held; }
   bool is_done(TaskNo no) const {
-    const auto& c = chunks[record.chunk_of(no)];
-    return c.record.done[no % record.chunk];
+    const auto number = record.chunk_of(no);
+    return chunks[number].record.done[no - record.first_task(number)];
   }
   const Held* holder(TaskNo no) const {
     const auto& held_by = chunks[record.chunk_of(no)].record.held;
@@ -137,6 +140,8 @@
   const std::map<MachineId, Life>& claims() const { return claims_; }
   const std::vector<MachineType>& catalogue() const { return catalogue_; }
   const MachineType* type(const std::string& name) const;
+  // What all controllers read, as is on record.
+  std::uint64_t format() const { return format_; }
   const std::vector<protocol::Booting>& booting() const { return booting_; }
   // Records of jobs that are over.
   const std::map<std::string, Version>& orphans() const { return orphans_; }
@@ -155,6 +160,12 @@
   // That job was done at that time of day: one that needs it may start once it was the last.
   void count_ready(Job& job, double done_at);
   void put_chunk(const Item& item, Time now);
+  // The job's record says that its chunks are divided into pieces.
+  void divide(Job& job, Time now);
+  // The pieces of that chunk that have no record of their own are as the chunk's says.
+  void derive_pieces(Job& job, std::uint32_t chunk, Time now);
+  // What the record of some tasks says now takes the place of what it said before.
+  void replace(Job& job, std::size_t number, ChunkRecord record, Version version, Time now);
   // Takes a task's holder out of the books, or puts it in.
   void count(const Job& job, TaskNo no, const Held& held, int sign);
   void uncount(const Job& job);
@@ -178,6 +189,7 @@
   std::uint64_t jobs_made_ready_ = 0;
   std::optional<View> view_;
   std::optional<Life> leader_;
+  std::uint64_t format_ = 1;
   std::map<MemberId, protocol::Member> members_;
   std::map<MachineId, Life> claims_;
   std::vector<MachineType> catalogue_;
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -153,7 +153,8 @@
   Transaction txn;
   // Guarded: carried out late, it must not take the place of a later life's.
   txn.guards[key] = ledger_.version(key);
-  txn.writes.push_back({key, to_json(protocol::Member{self_, reaches_others}), lease});
+  txn.writes.push_back(
+      {key, to_json(protocol::Member{self_, reaches_others, protocol::kFormat}), lease});
   return txn;
 }
 
@@ -217,6 +218,7 @@
     txn.writes.push_back({protocol::kLeadKey, {}, {}});
     return txn;
   }
+  if (auto format = tend_format()) return format;
   std::set<MemberId> shun;
   for (const auto& [id, member] : members) {
     if (id == self_.member || reached == 0) continue;
@@ -247,6 +249,29 @@
   return txn;
 }
 
+// New formats begin once every controller that is configured has said, under its present incarnation, that it
+// reads them: one that is away may come back as the version before.
+std::optional<Transaction> Controller::tend_format() const {
+  if (ledger_.format() >= protocol::kFormat) return {};
+  Transaction txn;
+  txn.guards[protocol::kFormatKey] = ledger_.version(protocol::kFormatKey);
+  const auto reads_format = [&](const MemberId& id) {
+    const auto at = ledger_.members().find(id);
+    if (at == ledger_.members().end() || at->second.format < protocol::kFormat) return false;
+    const std::string key = protocol::member_key(id);
+    txn.guards[key] = ledger_.version(key);
+    return true;
+  };
+  if (!reads_format(self_.member)) return {};
+  for (const base::Sibling& sibling : settings_.siblings) {
+    // The transaction takes conditions on so many members; a larger cluster is upgraded all the same.
+    const bool has_room = txn.guards.size() < settings_.txn_ops * protocol::kGuardsPerWrite;
+    if (!has_room || !reads_format(sibling.member)) return {};
+  }
+  txn.writes.push_back({protocol::kFormatKey, protocol::kFormat, {}});
+  return txn;
+}
+
 // --- workers
 
 void Controller::note_running(Time now) {
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -161,6 +161,8 @@
   // Stops for tasks that are to go, to be sent at once rather than with the next report's answer.
   std::vector<Order> stops(Time now);
   std::optional<Transaction> finish_one(Time now);
+  // Divides the chunks of a job that no value of the store holds any more.
+  std::optional<Transaction> divide_one(Time now);
   std::optional<Transaction> sweep_orphans();
 
   // --- siblings
@@ -203,6 +205,8 @@
     Time until{};
   };
 
+  // Puts on record that all controllers read this version's format, if they do and it is not yet.
+  std::optional<Transaction> tend_format() const;
   Time ttl_after(Time sent) const;
   // As the view says. Asked for every machine in every round, and the same until the view changes.
   const Life* owner(const MachineId& machine) const;
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -7,6 +7,7 @@
 namespace saddleslip::coordination {
 
 using base::JobId;
+using base::TaskNo;
 using protocol::Kind;
 using protocol::Transaction;
 
@@ -100,6 +101,21 @@
   return job.cancelled_on_record() || job.done == job.record.spec.tasks;
 }
 
+std::optional<Transaction> divide_chunks(const bookkeeping::Job& job, protocol::Version view,
+                                         const base::Settings& settings) {
+  const protocol::JobRecord& record = job.record;
+  const TaskNo fit = protocol::chunk_size(record.chunk, 1, settings.value_bytes);
+  if (record.piece != 0 || record.chunk <= fit || record.spec.tasks <= fit) return {};
+  protocol::JobRecord next = record;
+  next.piece = fit;
+  Transaction txn;
+  txn.guards[protocol::kViewKey] = view;
+  // Starts guard this version: none can be recorded by the chunks' own records after this.
+  txn.guards[protocol::job_key(record.spec.id)] = job.version;
+  txn.writes.push_back({protocol::job_key(record.spec.id), to_json(next), {}});
+  return txn;
+}
+
 std::optional<Transaction> finish(const bookkeeping::Job& job, std::size_t txn_ops,
                                   double time_of_day) {
   if (!may_finish(job)) return {};
@@ -128,11 +144,10 @@
 // writes were these. What is read here must hold still; what the conditions have no room for does so
 // anyway, since a task that is done stays done, and nothing starts but under the job's version.
 void guard_task_records(Transaction& txn, const bookkeeping::Job& job, std::size_t txn_ops) {
-  const auto& id = job.record.spec.id;
   for (std::size_t c = 0; c < job.chunks.size(); ++c) {
     if (txn.guards.size() >= txn_ops * protocol::kGuardsPerWrite) return;
     if (job.chunks[c].version.get() == 0) continue;
-    txn.guards[protocol::chunk_key(id, static_cast<std::uint32_t>(c))] = job.chunks[c].version;
+    txn.guards[job.record.record_key(static_cast<std::uint32_t>(c))] = job.chunks[c].version;
   }
 }
 
--- a/src/coordination/record_batch.cpp
+++ b/src/coordination/record_batch.cpp
@@ -27,6 +27,10 @@
   return (spec.one_zone || spec.spread) && job.chunks.size() > 1;
 }
 
+TaskNo place_in_record(const Job& job, TaskNo no) {
+  return no - job.record.first_task(job.record.chunk_of(no));
+}
+
 }  // namespace
 
 const RecordBatch::Edit* RecordBatch::find(const Job& job, TaskNo no) const {
@@ -41,7 +45,7 @@
 
 bool RecordBatch::is_done(const Job& job, TaskNo no) const {
   const Edit* e = find(job, no);
-  return e ? e->record.done[no % job.record.chunk] : job.is_done(no);
+  return e ? e->record.done[place_in_record(job, no)] : job.is_done(no);
 }
 
 bool RecordBatch::writes_record_of(const Job& job, TaskNo no) const {
@@ -66,7 +70,7 @@
   Edit* e = job ? edit(*job, task.no) : nullptr;
   if (!e) return false;
   e->record.held.erase(task.no);
-  if (done) e->record.done[task.no % job->record.chunk] = true;
+  if (done) e->record.done[place_in_record(*job, task.no)] = true;
   return true;
 }
 
@@ -111,7 +115,7 @@
   protocol::ChunkRecord record = job.chunks[chunk].record;
   for (const TaskEnd& end : ends) {
     record.held.erase(end.no);
-    if (end.done) record.done[end.no % job.record.chunk] = true;
+    if (end.done) record.done[place_in_record(job, end.no)] = true;
   }
   return protocol::encoded_size_bound(record) <= settings_.value_bytes;
 }
@@ -146,8 +150,9 @@
   txn.guards[protocol::kViewKey] = view;
   const std::set<JobId> finished = finished_jobs();
   for (const auto& [id, e] : edits_) {
-    const std::string key = protocol::chunk_key(id.job, id.chunk);
+    const std::string key = e.job->record.record_key(id.chunk);
     txn.guards[key] = e.job->chunks[id.chunk].version;
+    guard_whole_chunk(txn, *e.job, id.chunk);
     if (finished.contains(id.job)) continue;
     protocol::ChunkRecord record = e.record;
     if (e.has_starts) {
@@ -163,6 +168,14 @@
   return txn;
 }
 
+// A piece is as the chunk that was divided says until it has a record of its own: this must be the chunk as it
+// was when it was divided, and not an older copy of it.
+void RecordBatch::guard_whole_chunk(Transaction& txn, const Job& job, std::uint32_t piece) {
+  if (job.whole.empty()) return;
+  const std::uint32_t chunk = piece / job.record.pieces_of_chunk();
+  txn.guards[protocol::chunk_key(job.record.spec.id, chunk)] = job.whole[chunk].version;
+}
+
 // Starts of a team with a limit stand in a row, whoever makes them: its use, as counted from the local
 // copy, misses none that came before this version.
 void RecordBatch::add_rows(Transaction& txn, const protocol::Life& self) const {
--- a/src/coordination/record_batch.h
+++ b/src/coordination/record_batch.h
@@ -63,6 +63,8 @@
   bool has_room_for_start(const bookkeeping::Job& job, base::TaskNo no,
                           const protocol::Held& held) const;
   std::set<base::JobId> finished_jobs() const;
+  static void guard_whole_chunk(protocol::Transaction& txn, const bookkeeping::Job& job,
+                                std::uint32_t piece);
   void add_rows(protocol::Transaction& txn, const protocol::Life& self) const;
 
   const base::Settings& settings_;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -741,6 +741,16 @@
   return {};
 }
 
+std::optional<Transaction> Controller::divide_one(Time now) {
+  if (!entitled(now) || ledger_.format() < protocol::kFormatWithPieces) return {};
+  for (const auto& [id, job] : ledger_.jobs()) {
+    const Life* home = home_of(*ledger_.view(), id);
+    if (!home || *home != self_ || job.cancelled_on_record()) continue;
+    if (auto txn = divide_chunks(job, followed_view_, settings_)) return txn;
+  }
+  return {};
+}
+
 std::optional<Transaction> Controller::sweep_orphans() {
   if (!alive_ || !ledger_.view() || ledger_.orphans().empty()) return {};
   Transaction txn;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -376,8 +376,8 @@
       if (!more) break;
     }
   }
-  for (const std::string& key :
-       {protocol::kViewKey, protocol::kLeadKey, protocol::kCatalogueKey, protocol::kFleetKey}) {
+  for (const std::string& key : {protocol::kViewKey, protocol::kLeadKey, protocol::kFormatKey,
+                                 protocol::kCatalogueKey, protocol::kFleetKey}) {
     auto got = state_.get(key, Seconds(2.0));
     if (!got.answered) return false;
     if (got.item.version.get() != 0) items.push_back(std::move(got.item));
@@ -586,7 +586,10 @@
     if (!went) pause(kLeastGap);
   }
   for (int i = 0; i < 8; ++i) {
-    const auto txn = locked([](auto& c) { return c.finish_one(now()); });
+    const auto txn = locked([](auto& c) {
+      auto finish = c.finish_one(now());
+      return finish ? finish : c.divide_one(now());
+    });
     if (!txn) break;
     pay_writes(txn->writes.size());
     if (!commit(*txn, kStateCall)) break;
--- a/src/protocol/records.cpp
+++ b/src/protocol/records.cpp
@@ -15,6 +15,9 @@
 std::string chunk_key(const JobId& id, std::uint32_t chunk) {
   return kChunks + id.get() + "/" + std::to_string(chunk);
 }
+std::string piece_key(const JobId& id, std::uint32_t piece) {
+  return kChunks + id.get() + "/p" + std::to_string(piece);
+}
 std::string team_key(const std::string& team) {
   // Keys hold no spaces and 200 bytes at most; a team's name may be anything.
   std::string out;
@@ -42,16 +45,17 @@
 
 std::optional<ChunkName> parse_chunk_key(const std::string& key) {
   const auto slash = key.rfind('/');
-  if (slash == std::string::npos || slash <= kChunks.size() || slash + 1 >= key.size() ||
-      key.size() - slash > 7) {
-    return {};
-  }
+  if (slash == std::string::npos || slash <= kChunks.size()) return {};
+  const bool is_piece = key.compare(slash, 2, "/p") == 0;
+  const std::size_t number = slash + (is_piece ? 2 : 1);
+  constexpr std::size_t kMostDigits = 6;
+  if (number >= key.size() || key.size() - number > kMostDigits) return {};
   std::uint32_t n = 0;
-  for (std::size_t i = slash + 1; i < key.size(); ++i) {
+  for (std::size_t i = number; i < key.size(); ++i) {
     if (key[i] < '0' || key[i] > '9') return {};
     n = n * 10 + static_cast<std::uint32_t>(key[i] - '0');
   }
-  return ChunkName{JobId(key.substr(kChunks.size(), slash - kChunks.size())), n};
+  return ChunkName{JobId(key.substr(kChunks.size(), slash - kChunks.size())), n, is_piece};
 }
 
 namespace {
@@ -153,6 +157,7 @@
   }
   if (job.cancelled) j["w"] = true;
   if (job.chunk != kMostChunk) j["c"] = job.chunk;
+  if (job.piece != 0) j["p"] = job.piece;
   return j;
 }
 
@@ -173,6 +178,10 @@
     if (!chunk->is_number_unsigned() || *chunk < 1u || *chunk > kMostChunk) return {};
     job.chunk = chunk->get<TaskNo>();
   }
+  if (const auto piece = value.find("p"); piece != value.end()) {
+    if (!piece->is_number_unsigned() || *piece < 1u || *piece > job.chunk) return {};
+    job.piece = piece->get<TaskNo>();
+  }
   return job;
 }
 
@@ -260,14 +269,19 @@
 }
 
 Json to_json(const Member& member) {
-  return Json{{"life", to_json(member.life)}, {"reaches", member.reaches}};
+  return Json{
+      {"life", to_json(member.life)}, {"reaches", member.reaches}, {"format", member.format}};
 }
 
 std::optional<Member> parse_member(const Json& value) {
   if (!value.is_object() || !value.contains("life")) return {};
   const auto life = parse_life(value.at("life"));
   if (!life) return {};
-  return Member{*life, value.contains("reaches") && value.at("reaches") == true};
+  Member member{*life, value.contains("reaches") && value.at("reaches") == true};
+  const auto format = value.find("format");
+  if (format != value.end() && format->is_number_unsigned())
+    member.format = format->get<std::uint64_t>();
+  return member;
 }
 
 Json to_json(const View& view) {
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -3,6 +3,8 @@
 //   s/j/<job>            a job that is not over: what it asks, and whether it was cancelled
 //   s/t/<job>/<chunk>    its tasks' ranges: done, and held by machines (a chunk is as many tasks as
 //                        the job's record says)
+//   s/t/<job>/p<piece>   the same for a piece of a chunk, once the job's record says that its chunks are
+//                        divided: what the chunk's own record says holds for pieces that have none
 //   s/n/<job>            which set of lists names the jobs that it needs, if these do not fit into its record;
 //                        written before the job's own record, which guards its version
 //   s/n/<job>/<set>/<i>  one of the lists of that set
@@ -11,6 +13,7 @@
 //   s/q/job/<job>        the same for a job of several chunks whose tasks share or avoid zones
 //   s/m/<member>         a member's life, under its lease
 //   s/lead               the leader, under its lease
+//   s/format             the format that all controllers read, once each of them has said so
 //   s/view               epoch and members; every commit on tasks guards its version
 //   s/p/<machine>        a member that doesn't reach the leader claims a machine that can't reach its
 //                        owner; otherwise the leader is told so
@@ -39,6 +42,10 @@
 inline const std::string kAll = "s/";
 inline const std::string kViewKey = "s/view";
 inline const std::string kLeadKey = "s/lead";
+inline const std::string kFormatKey = "s/format";
+// What this version reads. 1, or not told: whole chunks only; 2: also pieces of them.
+inline constexpr std::uint64_t kFormat = 2;
+inline constexpr std::uint64_t kFormatWithPieces = 2;
 inline const std::string kCatalogueKey = "s/catalogue";
 inline const std::string kFleetKey = "s/fleet";
 inline const std::string kJobs = "s/j/";
@@ -52,6 +59,7 @@
 std::string job_key(const JobId& id);
 std::string final_key(const JobId& id);
 std::string chunk_key(const JobId& id, std::uint32_t chunk);
+std::string piece_key(const JobId& id, std::uint32_t piece);
 std::string team_key(const std::string& team);
 std::string row_key(const JobId& id);
 std::string claim_key(const MachineId& machine);
@@ -59,6 +67,7 @@
 struct ChunkName {
   JobId job;
   std::uint32_t chunk = 0;
+  bool is_piece = false;  // then the number is a piece's
 };
 std::optional<ChunkName> parse_chunk_key(const std::string& key);
 
@@ -104,9 +113,26 @@
   double submitted = 0;                 // by the time of day of the node that accepted it
   bool cancelled = false;
   TaskNo chunk = kMostChunk;  // tasks that share a record
+  TaskNo piece = 0;  // of these, so many do since the chunks were divided; 0: they were not
 
-  std::uint32_t chunk_of(TaskNo no) const { return no / chunk; }
-  std::size_t chunks() const { return (spec.tasks + chunk - 1) / chunk; }
+  // Records of tasks are numbered: chunks, or pieces if there are such.
+  std::uint32_t pieces_of_chunk() const { return piece == 0 ? 1 : (chunk + piece - 1) / piece; }
+  std::uint32_t chunk_of(TaskNo no) const {
+    const TaskNo within = piece == 0 ? 0 : no % chunk / piece;
+    return no / chunk * pieces_of_chunk() + within;
+  }
+  std::size_t chunks() const { return chunk_of(spec.tasks - 1) + std::size_t{1}; }
+  TaskNo first_task(std::uint32_t number) const {
+    return number / pieces_of_chunk() * chunk + number % pieces_of_chunk() * piece;
+  }
+  TaskNo tasks_of(std::uint32_t number) const {
+    const TaskNo first = first_task(number);
+    const TaskNo left = std::min(chunk - first % chunk, spec.tasks - first);
+    return piece == 0 ? left : std::min(piece, left);
+  }
+  std::string record_key(std::uint32_t number) const {
+    return piece == 0 ? chunk_key(spec.id, number) : piece_key(spec.id, number);
+  }
 };
 // So many tasks to a record that each part of the machines can have records of its own: two nodes
 // that write the same one get in each other's way. No more than fit into a value of so many bytes,
@@ -152,6 +178,7 @@
 struct Member {
   Life life;
   bool reaches = false;
+  std::uint64_t format = 1;  // what it reads
 };
 Json to_json(const Member& member);
 std::optional<Member> parse_member(const Json& value);
--- a/tests/world.h
+++ b/tests/world.h
@@ -140,6 +140,10 @@
              std::uint64_t revision);
   protocol::StateClient::Committed commit(std::size_t node, const protocol::Transaction& txn);
   void check_limits(std::size_t node, const protocol::Transaction& txn);
+  void check_format(const protocol::Transaction& txn);
+  bool is_version_before(std::size_t node) const;
+  static bool writes_as_this_version(const protocol::Transaction& txn);
+  static protocol::Transaction without_format(protocol::Transaction txn);
   protocol::StateClient::Committed apply(const protocol::Transaction& txn);
   protocol::StateClient::Got get(std::size_t node, const std::string& key);
   bool state_reachable(std::size_t node) const;
--- a/tests/world_state.cpp
+++ b/tests/world_state.cpp
@@ -1,4 +1,6 @@
 // The stand-in for the state service.
+#include <algorithm>
+
 #include "world.h"
 #include "world_internal.h"
 
@@ -56,9 +58,42 @@
   }
 }
 
+bool World::is_version_before(std::size_t node) const {
+  return next_limits_ && !nodes_[node].upgraded;
+}
+
+// The version before says nothing of formats, and never that all read a later one.
+bool World::writes_as_this_version(const protocol::Transaction& txn) {
+  return std::any_of(txn.writes.begin(), txn.writes.end(),
+                     [](const protocol::Put& w) { return w.key == protocol::kFormatKey; });
+}
+
+protocol::Transaction World::without_format(protocol::Transaction txn) {
+  for (protocol::Put& w : txn.writes) {
+    if (w.key.starts_with(protocol::kMembers) && w.value) w.value->erase("format");
+  }
+  return txn;
+}
+
+// Records that the version before can't read must not be written while it may come back.
+void World::check_format(const protocol::Transaction& txn) {
+  bool all_upgraded = true;
+  for (std::size_t n = 0; n < nodes_.size(); ++n)
+    all_upgraded = all_upgraded && !is_version_before(n);
+  for (const protocol::Put& w : txn.writes) {
+    const bool divides = w.key.starts_with(protocol::kJobs) && w.value && w.value->contains("p");
+    if (divides && !all_upgraded) broken("pieces before all controllers read them: " + w.key);
+  }
+}
+
 StateClient::Committed World::commit(std::size_t node, const protocol::Transaction& txn) {
   check_limits(node, txn);
+  check_format(txn);
   StateClient::Committed c;
+  if (is_version_before(node) && writes_as_this_version(txn)) {
+    c.outcome = Outcome::kConflict;
+    return c;
+  }
   if (!state_reachable(node)) {
     c.outcome = Outcome::kRefused;
     return c;
@@ -68,7 +103,7 @@
     late_commit_.erase(late);
     return c;
   }
-  c = apply(txn);
+  c = apply(is_version_before(node) ? without_format(txn) : txn);
   if (lose_commit_.erase(node) > 0) {
     c = {};
     nodes_[node].busy_until = t_ + 1.5;
