--- /dev/null
+++ b/src/coordination/ends.cpp
@@ -0,0 +1,197 @@
+// How tasks end: which attempts are certainly over, and when that is put on record.
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "coordination/controller.h"
+
+namespace saddleslip::coordination {
+
+using protocol::TaskState;
+
+namespace {
+
+constexpr double kNearLimit = 0.8;  // of a team's limit: ends are recorded at once from here on
+constexpr int kLastTier = 99;       // of what is known no more
+
+}  // namespace
+
+void Controller::collect_ends(Time now, std::vector<RoundPlan::End>& ends) {
+  const Seconds lease = settings_.worker_lease * (1.0 + base::kDrift) + Seconds(0.2);
+  const auto collect = [&](const MachineId& machine, Machine* m) {
+    const auto& tasks = ledger_.held_by(machine);
+    if (tasks.empty()) return;
+    if (gone_.contains(machine)) {
+      for (const auto& [task, held] : tasks)
+        ends.push_back({task, machine, "machine released", false});
+      return;
+    }
+    const Time since = owned_since_.try_emplace(machine, now).first->second;
+    Time last_answer = base::after(since, settings_.tuning.member_ttl);
+    if (m) last_answer = std::max(last_answer, m->answered);
+    const bool expired = now > base::after(last_answer, lease);
+    std::set<TaskId> told;
+    if (m) {
+      for (const auto& over : look(*m).over) {
+        ends.push_back({over.task, machine, over.why, over.done});
+        if (expired) told.insert(over.task);
+      }
+    }
+    if (!expired) return;
+    for (const auto& [task, held] : tasks) {
+      if (!told.contains(task)) {
+        ends.push_back({task, machine, "worker's lease is certainly gone", false});
+      }
+    }
+    // The session is over even if the worker's own word for it comes later: old reports of it
+    // must not bring its tasks back.
+    if (m) {
+      auto& dead = dead_session_[machine];
+      dead = std::max(dead, m->last.session);
+    }
+  };
+  // What reports here is owned: a new view sorts out the rest.
+  for (auto& [machine, m] : machines_) collect(machine, &m);
+  for (const MachineId& machine : unheard_owned(now)) {
+    if (!machines_.contains(machine) && owns(machine)) collect(machine, nullptr);
+  }
+}
+
+const protocol::ReportedTask* Controller::reported(const Machine& m, const TaskId& task,
+                                                   const protocol::Held& held) {
+  if (held.session != m.last.session) return nullptr;
+  const auto at = m.last.tasks.find(task);
+  if (at == m.last.tasks.end()) return nullptr;
+  const auto t = std::find_if(at->second.begin(), at->second.end(),
+                              [&](const auto& r) { return r.attempt == held.attempt; });
+  return t == at->second.end() ? nullptr : &*t;
+}
+
+bool Controller::reported_over(const Machine& m, const TaskId& task, const protocol::Held& held) {
+  const auto* t = reported(m, task, held);
+  return t && t->state == TaskState::kEnded;
+}
+
+// May this end be recorded later, together with others of its record? Nothing hangs on it before
+// this part's share of the record is complete: the room is free already, and a task whose machine is lost before then ends
+// at once where it is started again, since its result is kept.
+bool Controller::can_wait(const RoundPlan::End& end, const std::set<TaskId>& ended, Time now) {
+  const Job* job = ledger_.job(end.task.job);
+  if (!end.done || !job || job->cancelled()) return false;
+  const Time seen = end_seen_.try_emplace(end.task, now).first->second;
+  if (base::between(seen, now) > settings_.tuning.record_within) return false;
+  // A team near its limit waits for the room that the record still counts.
+  if (ledger_.limited(job->record.spec.team)) {
+    const base::Team& team = settings_.teams.at(job->record.spec.team);
+    const Resources use = ledger_.team_use(job->record.spec.team);
+    if ((team.cores_max > 0 && use.cores() > team.cores_max * kNearLimit) ||
+        (team.gpus_max > 0 && use.gpus() > team.gpus_max * kNearLimit)) {
+      return false;
+    }
+  }
+  const auto& held = job->chunks[job->record.chunk_of(end.task.no)].record.held;
+  return std::any_of(held.begin(), held.end(), [&](const auto& h) {
+    return owns(h.second.machine) && !ended.contains(TaskId{end.task.job, h.first});
+  });
+}
+
+void Controller::record_end(RoundPlan::End end, RecordBatch& batch, RoundPlan& plan) {
+  if (batch.add_end(end.task, end.done)) plan.ends.push_back(std::move(end));
+}
+
+// Records that were written when the store took larger values may be rewritten only once enough of their
+// tasks have ended, and then with all these ends at once. Drops the ends that have to wait for more;
+// returns those that go together.
+std::set<TaskId> Controller::settle_large_records(std::vector<RoundPlan::End>& ends,
+                                                  const RecordBatch& batch) const {
+  struct LargeRecord {
+    const Job* job = nullptr;
+    std::vector<RecordBatch::TaskEnd> ends;
+    bool fits = false;
+  };
+  std::map<std::pair<JobId, std::uint32_t>, LargeRecord> large;
+  for (const RoundPlan::End& end : ends) {
+    const Job* job = ledger_.job(end.task.job);
+    if (!job) continue;
+    const std::uint32_t chunk = job->record.chunk_of(end.task.no);
+    const auto& record = job->chunks[chunk].record;
+    if (protocol::encoded_size_bound(record) <= settings_.value_bytes) continue;
+    LargeRecord& l = large[{end.task.job, chunk}];
+    l.job = job;
+    l.ends.push_back({end.task.no, end.done});
+  }
+  std::set<TaskId> together;
+  if (large.empty()) return together;
+  for (auto& [id, l] : large) {
+    l.fits = batch.fits_with_ends(*l.job, id.second, l.ends);
+    for (const auto& end : l.ends) {
+      if (l.fits) together.insert({id.first, end.no});
+    }
+  }
+  std::erase_if(ends, [&](const RoundPlan::End& end) {
+    const Job* job = ledger_.job(end.task.job);
+    if (!job) return false;
+    const auto at = large.find({end.task.job, job->record.chunk_of(end.task.no)});
+    return at != large.end() && !at->second.fits;
+  });
+  return together;
+}
+
+std::vector<RoundPlan::End> Controller::record_ends(std::vector<RoundPlan::End> ends, Pace pace,
+                                                    Time now, RecordBatch& batch, RoundPlan& plan) {
+  std::set<TaskId> ended;
+  for (const RoundPlan::End& end : ends) ended.insert(end.task);
+  std::erase_if(end_seen_, [&](const auto& e) { return !ended.contains(e.first); });
+  const std::set<TaskId> together = settle_large_records(ends, batch);
+  // After a crash there may be more ends than one record holds: the urgent work's come first.
+  std::map<int, std::vector<RoundPlan::End>> due;  // by tier
+  std::vector<RoundPlan::End> later;
+  for (RoundPlan::End& end : ends) {
+    const Job* job = ledger_.job(end.task.job);
+    const bool urgent = job && priorities_.is_urgent(*job);
+    const bool waits = can_wait(end, ended, now) && !together.contains(end.task);
+    if (waits || (pace == Pace::kUrgent && !urgent)) {
+      later.push_back(std::move(end));
+    } else {
+      due[job ? priorities_.tier(*job) : kLastTier].push_back(std::move(end));
+    }
+  }
+  for (auto& [tier, of_tier] : due) {
+    for (RoundPlan::End& end : of_tier) record_end(std::move(end), batch, plan);
+  }
+  return later;
+}
+
+// Ends that can wait go along with what is written anyway, or while writes are plentiful: the ones
+// seen first go first.
+void Controller::record_late_ends(std::vector<RoundPlan::End> ends, Pace pace, Time now,
+                                  RecordBatch& batch, RoundPlan& plan) {
+  const auto seen = [&](const RoundPlan::End& end) {
+    const auto at = end_seen_.find(end.task);
+    return at == end_seen_.end() ? now : at->second;
+  };
+  std::stable_sort(ends.begin(), ends.end(),
+                   [&](const auto& a, const auto& b) { return seen(a) < seen(b); });
+  for (RoundPlan::End& end : ends) {
+    const Job* job = ledger_.job(end.task.job);
+    if (job && (pace == Pace::kSpare || batch.writes_record_of(*job, end.task.no)))
+      record_end(std::move(end), batch, plan);
+  }
+}
+
+Seconds Controller::run_before_end(const RoundPlan::End& end) const {
+  const auto at = machines_.find(end.machine);
+  if (at == machines_.end()) return Seconds(0);
+  const auto ran = at->second.ran_before.find(end.task);
+  return ran == at->second.ran_before.end() ? Seconds(0) : ran->second;
+}
+
+void Controller::learn_run_time(const RoundPlan::End& end) {
+  const auto at = machines_.find(end.machine);
+  const Job* job = ledger_.job(end.task.job);
+  if (at == machines_.end() || !job) return;
+  priorities_.learn_run_time(job->record.spec, run_before_end(end));
+  at->second.ran_before.erase(end.task);
+}
+
+}  // namespace saddleslip::coordination
--- a/src/coordination/job_priorities.cpp
+++ b/src/coordination/job_priorities.cpp
@@ -1,7 +1,6 @@
 #include "coordination/job_priorities.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace saddleslip::coordination {
 
@@ -101,7 +100,8 @@
     }
   }
   // Backwards: what each owes to those that need it.
-  for (const Job* each : std::ranges::reverse_view(order)) {
+  const std::vector<const Job*> backwards(order.rbegin(), order.rend());
+  for (const Job* each : backwards) {
     const Job& job = *each;
     const base::JobId& id = job.record.spec.id;
     Inherited own{job.record.spec.rank, own_due(job, soonest_end[id])};
