--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -133,4 +133,77 @@
   }
 }
 
+namespace {
+
+// A job of 150 tasks in chunks of 100, divided into pieces of 40 or not.
+Item large_job(bool divided, std::uint64_t version) {
+  protocol::JobRecord record = job("run-000077", 150);
+  record.chunk = 100;
+  record.piece = divided ? 40 : 0;
+  return item(record, version);
+}
+
+// The record of tasks from `first` on, with these held by a machine each.
+Item tasks_record(const std::string& key, TaskNo first, TaskNo count, std::uint64_t next,
+                  const std::vector<TaskNo>& held, std::uint64_t version) {
+  ChunkRecord record;
+  record.next = base::Attempt(next);
+  record.done.assign(count, false);
+  record.done[0] = true;
+  for (const TaskNo no : held) {
+    record.held[no] = {MachineId("i-" + std::to_string(no)), base::Attempt(1), base::Session(1)};
+  }
+  return {key, to_json(record, first), Version(version)};
+}
+
+}  // namespace
+
+TEST(Ledger, ADividedChunkIsReadByPieces) {
+  base::Settings settings;
+  Ledger ledger(settings);
+  const JobId id("run-000077");
+  ledger.apply(large_job(false, 1), Time{});
+  ledger.apply(tasks_record(protocol::chunk_key(id, 0), 0, 100, 5, {39, 40, 99}, 2), Time{});
+  ledger.apply(tasks_record(protocol::chunk_key(id, 1), 100, 50, 6, {149}, 3), Time{});
+  ledger.apply(large_job(true, 4), Time{});
+  const Job* job = ledger.job(id);
+  ASSERT_EQ(job->chunks.size(), 5u);  // 40 + 40 + 20, 40 + 10
+  EXPECT_EQ(job->chunk_first(2), 80u);
+  EXPECT_EQ(job->chunk_size(2), 20u);
+  EXPECT_EQ(job->chunk_first(4), 140u);
+  EXPECT_EQ(job->chunk_size(4), 10u);
+  EXPECT_EQ(job->held, 4u);
+  EXPECT_EQ(job->done, 2u);
+  EXPECT_TRUE(job->is_done(100));
+  EXPECT_EQ(job->chunks[1].record.next, base::Attempt(5));
+  EXPECT_EQ(job->chunks[4].record.next, base::Attempt(6));
+  EXPECT_EQ(ledger.held_by(MachineId("i-40")).size(), 1u);
+  // A piece of its own record; the others are still as the chunk's record says.
+  ledger.apply(tasks_record(protocol::piece_key(id, 1), 40, 40, 7, {}, 5), Time{});
+  EXPECT_TRUE(ledger.held_by(MachineId("i-40")).empty());
+  ledger.apply(tasks_record(protocol::chunk_key(id, 0), 0, 100, 5, {40}, 6), Time{});
+  EXPECT_TRUE(ledger.held_by(MachineId("i-40")).empty()) << "an older record than the piece's";
+  EXPECT_TRUE(ledger.held_by(MachineId("i-39")).empty());
+  EXPECT_EQ(job->held, 1u);
+  // All of its records go once it is over.
+  ledger.apply({protocol::job_key(id), protocol::Json(), Version(7)}, Time{});
+  EXPECT_EQ(ledger.orphans().size(), 3u);
+  EXPECT_TRUE(ledger.held().empty());
+}
+
+// All is read page by page: a chunk that is divided meanwhile must not lose its pieces' records.
+TEST(Ledger, APieceThatIsReadBeforeItsChunkIsDividedComesAgain) {
+  base::Settings settings;
+  Ledger ledger(settings);
+  const JobId id("run-000077");
+  ledger.apply(large_job(false, 1), Time{});
+  const Item piece = tasks_record(protocol::piece_key(id, 0), 0, 40, 9, {3}, 6);
+  ledger.apply(piece, Time{});
+  EXPECT_EQ(ledger.job(id)->held, 0u);
+  ledger.apply(large_job(true, 5), Time{});
+  EXPECT_TRUE(ledger.apply(piece, Time{}));
+  EXPECT_EQ(ledger.job(id)->chunks[0].version, Version(6));
+  EXPECT_EQ(ledger.job(id)->held, 1u);
+}
+
 }  // namespace saddleslip::bookkeeping
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -82,4 +82,37 @@
   }
 }
 
+// Limits that the state service gets later come without notice: the smaller ones hold from the start.
+TEST(Settings, KeepsTheSmallerOfPresentAndLaterLimits) {
+  Json j = good();
+  j["settings"]["state"] = {{"value_kb", 16}, {"txn_ops", 12}, {"write_rps", 60}, {"rps", 200}};
+  EXPECT_EQ(parse_settings(j.dump()).value_bytes, 16u << 10);
+  j["settings"]["state"]["next"] = {{"value_kb", 2}, {"txn_ops", 20}, {"write_rps", 42}};
+  const Settings s = parse_settings(j.dump());
+  EXPECT_EQ(s.value_bytes, 2u << 10);
+  EXPECT_EQ(s.txn_ops, 12u);
+  EXPECT_EQ(s.state_write_rps, 42);
+  EXPECT_EQ(s.state_rps, 200);
+}
+
+TEST(Settings, RefusesLaterLimitsThatDoNotFit) {
+  const auto message = [](const Json& next) -> std::string {
+    Json j = good();
+    j["settings"]["state"]["next"] = next;
+    try {
+      parse_settings(j.dump());
+    } catch (const BadSettings& e) {
+      return e.what();
+    }
+    return "";
+  };
+  EXPECT_EQ(message(Json()), "");
+  EXPECT_EQ(message({{"value_kb", 1}, {"txn_ops", 4}}), "");
+  EXPECT_NE(message("small").find("settings.state.next must be an object"), std::string::npos);
+  EXPECT_NE(message({{"value_kb", 0.5}}).find("settings.state.next.value_kb"), std::string::npos);
+  EXPECT_NE(message({{"txn_ops", 3}}).find("settings.state.next.txn_ops"), std::string::npos);
+  EXPECT_NE(message({{"write_rps", "few"}}).find("settings.state.next.write_rps"),
+            std::string::npos);
+}
+
 }  // namespace saddleslip::base
