--- a/src/api/user_api.h
+++ b/src/api/user_api.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include <functional>
-#include <mutex>
 #include <optional>
 #include <string>
 
+#include "base/monitored_mutex.h"
 #include "coordination/controller.h"
 #include "protocol/clients.h"
 #include "protocol/job_record.h"
@@ -46,8 +46,8 @@
     // controller that cannot reach the state service learns of the cancellation only this way.
     std::function<void(const base::JobId& id)> broadcast_cancellation;
   };
-  UserApi(const base::Settings& settings, std::mutex& mutex, coordination::Controller& controller,
-          Store store)
+  UserApi(const base::Settings& settings, base::MonitoredMutex& mutex,
+          coordination::Controller& controller, Store store)
       : settings_(settings), mutex_(mutex), controller_(controller), store_(std::move(store)) {}
 
   // Submits the job described by the JSON text `body`. Replies 201 if the job is accepted now, 200
@@ -139,13 +139,13 @@
 
   // Calls function(controller) with the mutex locked and returns its result by value.
   template <class F>
-  auto with_lock(F function) {
-    const std::lock_guard lock(mutex_);
+  auto with_lock(F function, const base::CallSite& caller = base::CallSite::current()) {
+    const base::MonitoredLock lock(mutex_, caller);
     return function(controller_);
   }
 
   const base::Settings& settings_;
-  std::mutex& mutex_;  // guards controller_
+  base::MonitoredMutex& mutex_;  // guards controller_
   coordination::Controller& controller_;
   Store store_;
 };
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -144,6 +144,10 @@
   bool has_authority(Time now) const {
     return authority_.has_authority(now, ownership_.installed_view());
   }
+  // Returns the first fencing token of the installed view.
+  FencingToken base_fencing_token() const { return ownership_.base_fencing_token(); }
+  // Returns the number of machines that this member owns and has received heartbeats from.
+  std::size_t machine_count() const { return machines_.size(); }
   // Returns whether this incarnation is the stored leader and still has its lease.
   bool is_leader(Time now) const { return leadership_.is_leader(now); }
   // Installs a new view and detects changes of the leader. Must be called after each change to the
@@ -432,7 +436,6 @@
   // Aliases for frequently read members of the parts above.
   const ControllerIncarnation& self_ = authority_.self();
   const Version& installed_view_ = ownership_.installed_view();
-  const FencingToken& base_fencing_token_ = ownership_.base_fencing_token();
   const Time& view_installed_at_ = ownership_.view_installed_at();
   std::optional<Time> many_silent_at_;  // when too many machines were last silent at once
 
--- /dev/null
+++ b/src/daemon/activity_log.cpp
@@ -0,0 +1,68 @@
+#include "daemon/activity_log.h"
+
+#include <string>
+#include <string_view>
+
+#include "base/log.h"
+
+namespace saddleslip {
+
+using base::MonitoredMutex;
+using base::Seconds;
+using base::SteadyClock;
+using coordination::Controller;
+
+namespace {
+
+constexpr Seconds kInterval{10.0};
+// Users wait at most two seconds for a status, and need the mutex several times for it.
+constexpr Seconds kLongHold{0.5};
+
+// Returns the file and the line of the caller.
+std::string name_of(const base::CallSite& caller) {
+  const std::string_view path = caller.file;
+  return std::string(path.substr(path.rfind('/') + 1)) + ":" + std::to_string(caller.line);
+}
+
+}  // namespace
+
+void ActivityLog::run(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    sleep_for(kInterval, stop);
+    if (!stop.stop_requested()) log_interval();
+  }
+}
+
+void ActivityLog::log_interval() {
+  const MonitoredMutex::Report mutex = context_.controller.mutex().take_report();
+  if (mutex.hold.duration > kLongHold) {
+    spdlog::warn("one step held the controller's mutex for long: hold_s={:.2f} caller={}",
+                 mutex.hold.duration.count(), name_of(mutex.hold.caller));
+  }
+  struct State {
+    bool is_leader = false, has_authority = false;
+    std::uint64_t view = 0, first_token = 0, revision = 0;
+    std::size_t jobs = 0, machines = 0;
+  };
+  const State state = context_.controller.with_lock([](Controller& controller) {
+    const base::Time now = SteadyClock::now();
+    const auto& cache = controller.cache();
+    State result;
+    result.is_leader = controller.is_leader(now);
+    result.has_authority = controller.has_authority(now);
+    if (cache.view()) result.view = cache.view()->epoch.get();
+    result.first_token = controller.base_fencing_token().get();
+    result.revision = cache.revision().get();
+    result.jobs = cache.jobs().size();
+    result.machines = controller.machine_count();
+    return result;
+  });
+  spdlog::info(
+      "controller activity: leader={} authority={} view={} first_token={} revision={} jobs={} "
+      "machines={} mutex_wait_s={:.3f} waiter={} mutex_hold_s={:.3f} holder={}",
+      state.is_leader, state.has_authority, state.view, state.first_token, state.revision,
+      state.jobs, state.machines, mutex.wait.duration.count(), name_of(mutex.wait.caller),
+      mutex.hold.duration.count(), name_of(mutex.hold.caller));
+}
+
+}  // namespace saddleslip
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -124,6 +124,7 @@
   start_loop(lease_renewer_);
   start_loop(scheduling_loop_);
   start_loop(fleet_loop_);
+  start_loop(activity_log_);
   for (int i = 0; i < kCommandSenderThreads; ++i) start_loop(command_sender_);
   for (const auto& peer : peers_) start_loop(*peer);
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -9,6 +9,7 @@
 
 #include "api/user_api.h"
 #include "base/settings.h"
+#include "daemon/activity_log.h"
 #include "daemon/command_sender.h"
 #include "daemon/fleet_loop.h"
 #include "daemon/http_routes.h"
@@ -71,6 +72,7 @@
   CommandSender command_sender_;
   SchedulingLoop scheduling_loop_;
   FleetLoop fleet_loop_;
+  ActivityLog activity_log_{context_};
 
   UserApi user_api_;
   HttpRoutes http_routes_;
--- a/src/daemon/shared_controller.h
+++ b/src/daemon/shared_controller.h
@@ -1,8 +1,7 @@
 // The controller, shared between the daemon's threads.
 #pragma once
 
-#include <mutex>
-
+#include "base/monitored_mutex.h"
 #include "base/settings.h"
 #include "coordination/controller.h"
 #include "daemon/wakeup_event.h"
@@ -22,19 +21,20 @@
   SharedController& operator=(const SharedController&) = delete;
 
   // Calls function(Controller&) with the mutex locked and returns its result by value. The
-  // function must not keep a reference to the controller or to anything in it.
+  // function must not keep a reference to the controller or to anything in it. The time of the call
+  // is recorded for `caller`.
   template <class F>
-  auto with_lock(F function) {
-    const std::lock_guard lock(mutex_);
+  auto with_lock(F function, const base::CallSite& caller = base::CallSite::current()) {
+    const base::MonitoredLock lock(mutex_, caller);
     return function(controller_);
   }
 
   // Unguarded access for UserApi, which locks the mutex itself whenever it uses the controller.
-  std::mutex& mutex() { return mutex_; }
+  base::MonitoredMutex& mutex() { return mutex_; }
   coordination::Controller& controller() { return controller_; }
 
  private:
-  std::mutex mutex_;
+  base::MonitoredMutex mutex_;
   coordination::Controller controller_;  // guarded by mutex_
 };
 
--- /dev/null
+++ b/tests/loopback/controller_processes.cpp
@@ -0,0 +1,206 @@
+#include "loopback/controller_processes.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+
+namespace saddleslip::testing {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds kLimiterPeriod{50};
+const char* const kZones[] = {"a", "b", "c"};
+
+// The range of the controllers' ports. It is below the range from which the system takes the ports
+// of outgoing connections, which could otherwise occupy the port of a controller that is down.
+constexpr int kFirstPort = 12'000;
+constexpr int kPorts = 20'000;
+
+bool is_free(int port) {
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  const bool is_bound =
+      ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+  ::close(socket);
+  return is_bound;
+}
+
+// Returns a port that is free now and was not returned before.
+int free_port() {
+  static std::atomic<int> next{static_cast<int>(::getpid()) * 16};
+  for (;;) {
+    const int port = kFirstPort + next++ % kPorts;
+    if (is_free(port)) return port;
+  }
+}
+
+std::string loopback(int port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string member_name(std::size_t controller) {
+  return "n-" + std::to_string(controller);
+}
+
+}  // namespace
+
+ControllerProcesses::ControllerProcesses(Options options) : options_(std::move(options)) {
+  processes_.resize(options_.state_ports.size());
+  for (Process& process : processes_) {
+    process.port = free_port();
+    process.peer_port = free_port();
+  }
+  if (options_.processor_share < 1) limiter_ = std::thread([this] { limit_processor_time(); });
+}
+
+ControllerProcesses::~ControllerProcesses() {
+  is_stopping_ = true;
+  if (limiter_.joinable()) limiter_.join();
+  kill_all();
+}
+
+void ControllerProcesses::kill_all() {
+  for (std::size_t i = 0; i < processes_.size(); ++i) kill(i);
+}
+
+std::vector<std::string> ControllerProcesses::members() const {
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < processes_.size(); ++i) names.push_back(member_name(i));
+  return names;
+}
+
+std::vector<int> ControllerProcesses::ports() const {
+  std::vector<int> ports;
+  for (const Process& process : processes_) ports.push_back(process.port);
+  return ports;
+}
+
+std::string ControllerProcesses::write_settings(std::size_t controller) const {
+  Json siblings = Json::array();
+  for (std::size_t i = 0; i < processes_.size(); ++i) {
+    if (i == controller) continue;
+    siblings.push_back({{"member", member_name(i)},
+                        {"area", kZones[i % std::size(kZones)]},
+                        {"address", loopback(processes_[i].peer_port)}});
+  }
+  const Json root = {
+      {"member", member_name(controller)},
+      {"area", kZones[controller % std::size(kZones)]},
+      {"serve_on", loopback(processes_[controller].port)},
+      {"peer_listen", loopback(processes_[controller].peer_port)},
+      {"siblings", siblings},
+      {"endpoints",
+       {{"cloud", loopback(cloud_port_)}, {"state", loopback(options_.state_ports[controller])}}},
+      {"settings", options_.settings}};
+  std::string path = options_.folder + "/" + member_name(controller) + ".json";
+  std::ofstream(path) << root.dump(2);
+  return path;
+}
+
+void ControllerProcesses::start(std::size_t controller) {
+  const std::lock_guard lock(mutex_);
+  Process& process = processes_.at(controller);
+  if (process.pid != 0) return;
+  const std::string settings = write_settings(controller);
+  const std::string operators = options_.folder + "/operators.yaml";
+  // Machines stay when they are idle.
+  std::ofstream(operators) << "idle_return_s: 3600\n";
+  const std::string log = options_.folder + "/" + member_name(controller) + ".log";
+  const pid_t pid = ::fork();
+  if (pid == 0) {
+    const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    ::dup2(file, STDERR_FILENO);
+    ::setenv("LOG_LEVEL", options_.log_level.c_str(), 1);
+    ::execl(options_.program.c_str(), options_.program.c_str(), "--config", settings.c_str(),
+            "--operators", operators.c_str(), nullptr);
+    ::_exit(127);
+  }
+  process.pid = pid;
+  process.is_paused = false;
+  ++process.starts;
+}
+
+void ControllerProcesses::kill(std::size_t controller) {
+  const std::lock_guard lock(mutex_);
+  Process& process = processes_.at(controller);
+  if (process.pid == 0) return;
+  int status = 0;
+  if (::waitpid(process.pid, &status, WNOHANG) == process.pid) {
+    unexpected_ends_.push_back(member_name(controller) + " ended by itself, wait status " +
+                               std::to_string(status));
+  } else {
+    ::kill(process.pid, SIGKILL);
+    ::waitpid(process.pid, nullptr, 0);
+  }
+  process.pid = 0;
+}
+
+void ControllerProcesses::pause(std::size_t controller) {
+  const std::lock_guard lock(mutex_);
+  Process& process = processes_.at(controller);
+  if (process.pid == 0) return;
+  process.is_paused = true;
+  ::kill(process.pid, SIGSTOP);
+}
+
+void ControllerProcesses::resume(std::size_t controller) {
+  const std::lock_guard lock(mutex_);
+  Process& process = processes_.at(controller);
+  if (process.pid == 0) return;
+  process.is_paused = false;
+  ::kill(process.pid, SIGCONT);
+}
+
+std::vector<std::string> ControllerProcesses::unexpected_ends() {
+  const std::lock_guard lock(mutex_);
+  for (std::size_t i = 0; i < processes_.size(); ++i) {
+    Process& process = processes_[i];
+    int status = 0;
+    if (process.pid == 0 || ::waitpid(process.pid, &status, WNOHANG) != process.pid) continue;
+    unexpected_ends_.push_back(member_name(i) + " ended by itself, wait status " +
+                               std::to_string(status));
+    process.pid = 0;
+  }
+  return unexpected_ends_;
+}
+
+std::size_t ControllerProcesses::peak_memory_bytes(std::size_t controller) {
+  const std::lock_guard lock(mutex_);
+  std::ifstream status("/proc/" + std::to_string(processes_.at(controller).pid) + "/status");
+  constexpr std::size_t kBytesPerKilobyte = 1024;
+  const std::string field = "VmHWM:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(field)) return std::stoul(line.substr(field.size())) * kBytesPerKilobyte;
+  }
+  return 0;
+}
+
+void ControllerProcesses::limit_processor_time() {
+  const auto signal_all = [this](int signal) {
+    const std::lock_guard lock(mutex_);
+    for (const Process& process : processes_) {
+      if (process.pid != 0 && !process.is_paused) ::kill(process.pid, signal);
+    }
+  };
+  while (!is_stopping_) {
+    signal_all(SIGCONT);
+    std::this_thread::sleep_for(kLimiterPeriod * options_.processor_share);
+    signal_all(SIGSTOP);
+    std::this_thread::sleep_for(kLimiterPeriod * (1 - options_.processor_share));
+  }
+  signal_all(SIGCONT);
+}
+
+}  // namespace saddleslip::testing
--- /dev/null
+++ b/tests/loopback/controller_processes.h
@@ -0,0 +1,78 @@
+// The controllers of a loopback cluster, each a process of its own.
+#pragma once
+
+#include <sys/types.h>
+
+#include <atomic>
+#include <cstddef>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace saddleslip::testing {
+
+// Starts the controllers and ends, pauses and restarts them. Their settings and logs are in a
+// folder.
+//
+// All functions may be called from any thread.
+class ControllerProcesses {
+ public:
+  struct Options {
+    std::string program;
+    std::string folder;
+    std::string log_level = "info";
+    // The share of a processor core that each process gets; 1 does not limit it.
+    double processor_share = 1;
+    // The field `settings` of the platform's file.
+    nlohmann::json settings;
+    std::vector<int> state_ports;  // of the state service, for each controller
+  };
+  explicit ControllerProcesses(Options options);
+  // Ends all processes.
+  ~ControllerProcesses();
+  ControllerProcesses(const ControllerProcesses&) = delete;
+  ControllerProcesses& operator=(const ControllerProcesses&) = delete;
+
+  std::size_t count() const { return processes_.size(); }
+  std::vector<std::string> members() const;
+  // Returns the ports for users and agents.
+  std::vector<int> ports() const;
+
+  // Sets the port of the cloud for processes that are started from now on.
+  void set_cloud_port(int port) { cloud_port_ = port; }
+  void start(std::size_t controller);
+  // Ends a process with SIGKILL. Does nothing if it is not running.
+  void kill(std::size_t controller);
+  void kill_all();
+  // Stops a process from executing until resume() is called.
+  void pause(std::size_t controller);
+  void resume(std::size_t controller);
+  // Returns the largest resident memory that the process has had, or 0 if it is not running.
+  std::size_t peak_memory_bytes(std::size_t controller);
+  // Returns a line for each process that has ended although kill() was not called for it.
+  std::vector<std::string> unexpected_ends();
+
+ private:
+  struct Process {
+    int port = 0, peer_port = 0;
+    pid_t pid = 0;  // 0: not running
+    bool is_paused = false;
+    int starts = 0;
+  };
+
+  std::string write_settings(std::size_t controller) const;
+  // Stops and continues the processes so that each gets its share of a core.
+  void limit_processor_time();
+
+  const Options options_;
+  int cloud_port_ = 0;
+  std::mutex mutex_;  // guards the members below
+  std::vector<Process> processes_;
+  std::vector<std::string> unexpected_ends_;
+  std::atomic<bool> is_stopping_{false};
+  std::thread limiter_;
+};
+
+}  // namespace saddleslip::testing
--- a/tests/simulation/controller_process.h
+++ b/tests/simulation/controller_process.h
@@ -4,10 +4,10 @@
 
 #include <cstdint>
 #include <memory>
-#include <mutex>
 #include <optional>
 
 #include "api/user_api.h"
+#include "base/monitored_mutex.h"
 #include "base/settings.h"
 #include "coordination/controller.h"
 
@@ -19,7 +19,7 @@
   base::Settings settings;
   std::unique_ptr<coordination::Controller> controller;
   std::unique_ptr<UserApi> user_api;
-  std::unique_ptr<std::mutex> mutex;
+  std::unique_ptr<base::MonitoredMutex> mutex;
   bool is_upgraded = false;  // runs the current version, which observes `next_state_limits`
   bool is_up = false;
   bool is_loaded = false;
--- a/tests/simulation/simulated_controllers.cpp
+++ b/tests/simulation/simulated_controllers.cpp
@@ -23,7 +23,7 @@
   ControllerProcess& process = processes_[controller_index];
   process.settings =
       config_.controller_settings(controller_index, processes_.size(), process.is_upgraded);
-  process.mutex = std::make_unique<std::mutex>();
+  process.mutex = std::make_unique<base::MonitoredMutex>();
   process.controller = std::make_unique<coordination::Controller>(process.settings);
   process.user_api = std::make_unique<UserApi>(
       process.settings, *process.mutex, *process.controller,
--- a/tests/user_api_test.cpp
+++ b/tests/user_api_test.cpp
@@ -104,7 +104,7 @@
   }
 
   base::Settings settings_;
-  std::mutex mutex_;
+  base::MonitoredMutex mutex_;
   coordination::Controller controller_;
   std::map<std::string, Json> store_;
   std::vector<std::string> written_keys_;
