A controller that missed many changes no longer outgrows its memory quota

Cause: the limit on one response of changes is a share of the quota, but three readers request the missed changes at the same time (the watch, the read barrier of users' queries, the verification after a lease renewal), each parsed them, and each copied every value out of the parsed response. Parsed JSON takes more than ten times the size of its text, so the sum is twice the quota whatever the quota is. Class of bug: a limit that holds for one user of a resource and not for the sum of those who use it at once.

Fix: values are moved out of the parsed response, its text is freed, and only one large response is parsed at a time. The changes are still applied at once under the controller's mutex, so nothing sees a part of them.

--- a/src/protocol/state_client.cpp
+++ b/src/protocol/state_client.cpp
@@ -18,6 +18,8 @@
 // The HTTP timeout of a watch is its wait plus this margin, in which the response may arrive.
 constexpr Seconds kWatchTimeoutMargin{3.0};
 constexpr std::size_t kMaxLoggedBytes = 200;
+// A larger response is parsed only when no other one is.
+constexpr std::size_t kLargeChangesBytes = 128u << 10;
 
 constexpr const char* kItems = "items";
 constexpr const char* kEvents = "events";
@@ -46,29 +48,6 @@
   return "/leases/" + std::to_string(lease.get());
 }
 
-StateClient::WatchResult parse_changes_response(const HttpResult& response, Revision after) {
-  using Outcome = StateClient::WatchResult::Outcome;
-  StateClient::WatchResult result;
-  result.after = after;
-  // A response that is too large would not get smaller on a retry, so the caller has to list the
-  // items instead, page by page.
-  if (response.too_large || (response.delivery == Delivery::kAnswered && response.status == 410)) {
-    result.outcome = Outcome::kTooOld;
-    return result;
-  }
-  if (!response.ok()) return result;
-  const Json body = parse_object(response);
-  if (!has_array(body, kEvents)) return result;
-  for (const Json& entry : body.at(kEvents)) {
-    auto change = parse_change(entry);
-    if (!change) return {};
-    result.events.push_back(std::move(*change));
-  }
-  result.revision = parse_revision(body);
-  result.outcome = Outcome::kEvents;
-  return result;
-}
-
 }  // namespace
 
 StateClient::StateClient(const base::Address& address, std::size_t max_changes_bytes)
@@ -110,7 +89,8 @@
     result.answered = true;
     result.item.key = key;
   } else if (response.status == 200) {
-    auto item = parse_item(parse_object(response));
+    Json body = parse_object(response);
+    auto item = take_item(body);
     if (item && item->version.get() > 0) {
       result.answered = true;
       result.item = std::move(*item);
@@ -126,10 +106,10 @@
   const HttpResult response = http_.get(path, timeout, kMaxResponseBytes);
   ListResult result;
   if (!response.ok()) return result;
-  const Json body = parse_object(response);
+  Json body = parse_object(response);
   if (!has_array(body, kItems)) return result;
-  for (const Json& entry : body.at(kItems)) {
-    auto item = parse_item(entry);
+  for (Json& entry : body.at(kItems)) {
+    auto item = take_item(entry);
     if (!item) return result;
     result.items.push_back(std::move(*item));
   }
@@ -160,6 +140,32 @@
   renewals_.del(lease_path(lease), timeout);
 }
 
+StateClient::WatchResult StateClient::parse_changes_response(HttpResult response, Revision after) {
+  using Outcome = WatchResult::Outcome;
+  WatchResult result;
+  result.after = after;
+  // A response that is too large would not get smaller on a retry, so the caller has to list the
+  // items instead, page by page.
+  if (response.too_large || (response.delivery == Delivery::kAnswered && response.status == 410)) {
+    result.outcome = Outcome::kTooOld;
+    return result;
+  }
+  if (!response.ok()) return result;
+  if (response.body.size() > kLargeChangesBytes)
+    result.large_response_lock = std::unique_lock(large_response_mutex_);
+  Json body = parse_object(response);
+  response.body = {};
+  if (!has_array(body, kEvents)) return result;
+  for (Json& entry : body.at(kEvents)) {
+    auto change = take_change(entry);
+    if (!change) return {};
+    result.events.push_back(std::move(*change));
+  }
+  result.revision = parse_revision(body);
+  result.outcome = Outcome::kEvents;
+  return result;
+}
+
 StateClient::WatchResult StateClient::watch(const std::string& prefix, Revision after,
                                             Seconds wait) {
   const std::string path = changes_path(prefix, after, wait);
--- a/src/protocol/state_client.h
+++ b/src/protocol/state_client.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -69,6 +70,9 @@
 
   // The changes to the keys under a prefix after a revision.
   struct WatchResult {
+    // Held while a large response is parsed and its events exist. It is the first member, so that
+    // it is destroyed after them.
+    std::unique_lock<std::mutex> large_response_lock;
     enum class Outcome {
       kEvents,  // `events` holds all changes up to `revision`
       kTooOld,  // the changes are no longer stored or exceed the size limit: list the items instead
@@ -83,13 +87,21 @@
   WatchResult watch(const std::string& prefix, Revision after, Seconds wait);
   // Returns the changes after the revision `after` without waiting for new ones. Uses the
   // connections of the general calls rather than that of watch().
+  //
+  // Only one large response to watch() and changes() is parsed at a time: parsed changes take many
+  // times the memory of the response, and a process that missed many changes requests them for
+  // several purposes at once. The next one is parsed when the WatchResult of the previous one is
+  // destroyed.
   WatchResult changes(const std::string& prefix, Revision after, Seconds timeout);
 
  private:
+  WatchResult parse_changes_response(transport::HttpResult response, Revision after);
+
   const std::size_t max_changes_bytes_;
   transport::HttpClient http_;
   transport::HttpClient renewals_;  // separate, so that queued calls do not delay lease renewals
   transport::HttpClient watches_;   // separate, as a watch occupies its connection while it waits
+  std::mutex large_response_mutex_;
 };
 
 }  // namespace saddleslip::protocol
--- a/src/protocol/store_transaction.cpp
+++ b/src/protocol/store_transaction.cpp
@@ -49,22 +49,22 @@
   return Json{{wire::kPreconditions, std::move(preconditions)}, {kWrites, std::move(writes)}};
 }
 
-std::optional<Item> parse_item(const Json& value) {
-  if (!value.is_object() || !value.contains(kValue)) return {};
-  const std::string* key = find_string(value, kKey);
+std::optional<Item> take_item(Json& entry) {
+  if (!entry.is_object() || !entry.contains(kValue)) return {};
+  const std::string* key = find_string(entry, kKey);
   if (!key) return {};
-  return Item{*key, value.at(kValue), parse_version(value)};
+  return Item{*key, std::move(entry.at(kValue)), parse_version(entry)};
 }
 
-std::optional<Item> parse_change(const Json& value) {
-  if (!value.is_object()) return {};
-  if (const std::string* removed = find_string(value, kRemove)) {
-    return Item{*removed, Json(), parse_version(value)};
+std::optional<Item> take_change(Json& entry) {
+  if (!entry.is_object()) return {};
+  if (const std::string* removed = find_string(entry, kRemove)) {
+    return Item{*removed, Json(), parse_version(entry)};
   }
-  if (const std::string* written = find_string(value, kWrite)) {
-    return Item{*written, value.value(kValue, Json()), parse_version(value)};
-  }
-  return {};
+  const std::string* written = find_string(entry, kWrite);
+  if (!written) return {};
+  const auto value = entry.find(kValue);
+  return Item{*written, value == entry.end() ? Json() : std::move(*value), parse_version(entry)};
 }
 
 Revision parse_revision(const Json& response) {
--- a/src/protocol/store_transaction.h
+++ b/src/protocol/store_transaction.h
@@ -39,11 +39,11 @@
 // Encodes the transaction as the body of a commit request.
 Json to_json(const Transaction& transaction);
 
-// Parses an item in a response of the state service; nullopt if it is malformed.
-std::optional<Item> parse_item(const Json& value);
-// Parses an entry of the history of changes: an item that was written or removed. Returns nullopt
-// if it is malformed.
-std::optional<Item> parse_change(const Json& value);
+// Parses an item in a response of the state service; nullopt if it is malformed. Takes the item's
+// value out of `entry`, since a response may hold values of several megabytes in total.
+std::optional<Item> take_item(Json& entry);
+// Parses an entry of the history of changes in the same way: an item that was written or removed.
+std::optional<Item> take_change(Json& entry);
 // Returns the revision at which the state service made a response; 0 if the response has none.
 Revision parse_revision(const Json& response);
 
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "loopback/loopback_cluster.h"
+#include "makers.h"
 #include "protocol/records.h"
 
 namespace saddleslip::testing {
@@ -23,6 +24,8 @@
 // With 4,000 machines about 110 records change in a second, each with some tens of tasks.
 constexpr std::size_t kChangesWhilePaused = 5500;
 constexpr base::TaskNumber kTasksPerRecord = 40;
+constexpr std::size_t kStoredJobs = 2000;
+constexpr std::uint32_t kRecordsPerJob = 3;
 constexpr double kMemoryMegabytes = 158;
 constexpr std::size_t kBytesPerMegabyte = 1u << 20;
 constexpr seconds kStartUpTime{4};
@@ -62,6 +65,20 @@
   return options;
 }
 
+// Returns the record of an array with kRecordsPerJob chunks.
+protocol::Json make_job_record(const base::JobId& id) {
+  protocol::JobRecord record = make_job(id, protocol::Rank::kStandard);
+  record.spec.tasks = kTasksPerRecord * kRecordsPerJob;
+  record.chunk_size = kTasksPerRecord;
+  return to_json(record);
+}
+
+void expect_within_quota(LoopbackCluster& cluster) {
+  const std::size_t peak = cluster.controllers().peak_memory_bytes(kPausedController);
+  EXPECT_GT(peak, 0u);
+  EXPECT_LT(peak / kBytesPerMegabyte, static_cast<std::size_t>(kMemoryMegabytes));
+}
+
 // Users who ask one controller about a job again and again.
 class QueryingUsers {
  public:
@@ -96,9 +113,24 @@
   const QueryingUsers users(cluster.controllers().ports().at(kPausedController));
   cluster.controllers().resume(kPausedController);
   std::this_thread::sleep_for(kRecoveryTime);
-  const std::size_t peak = cluster.controllers().peak_memory_bytes(kPausedController);
-  EXPECT_GT(peak, 0u);
-  EXPECT_LT(peak / kBytesPerMegabyte, static_cast<std::size_t>(kMemoryMegabytes));
+  expect_within_quota(cluster);
+}
+
+// With 4,000 machines the state service holds about 2,000 jobs and 6,000 task records.
+TEST(LoopbackCluster, ControllerThatLoadsALargeStateStaysWithinItsMemoryQuota) {
+  LoopbackCluster cluster(make_options("large-state"));
+  cluster.controllers().kill(kPausedController);
+  for (std::size_t i = 0; i < kStoredJobs; ++i) {
+    const base::JobId job(job_name(i));
+    cluster.state_service().put(protocol::job_key(job), make_job_record(job));
+    for (std::uint32_t chunk = 0; chunk < kRecordsPerJob; ++chunk)
+      cluster.state_service().put(protocol::chunk_record_key(job, chunk), make_task_record(i));
+  }
+  std::this_thread::sleep_for(kStartUpTime);
+  const QueryingUsers users(cluster.controllers().ports().at(kPausedController));
+  cluster.controllers().start(kPausedController);
+  std::this_thread::sleep_for(kRecoveryTime);
+  expect_within_quota(cluster);
 }
 
 }  // namespace saddleslip::testing
--- a/tests/makers.h
+++ b/tests/makers.h
@@ -44,12 +44,12 @@
                                     std::vector<base::JobId> dependencies = {}) {
   protocol::JobRecord record;
   record.spec.id = id;
-  record.spec.job_class = "c";
-  record.spec.team = "t";
+  record.spec.job_class = std::string("c");
+  record.spec.team = std::string("t");
   record.spec.rank = rank;
   record.spec.tasks = 2;
   record.spec.request = make_resources(4, 1);
-  record.spec.image = "img";
+  record.spec.image = std::string("img");
   record.spec.estimate = base::Seconds(20);
   record.spec.dependencies = std::move(dependencies);
   record.submitted_at = 1000;
