Failing tests: rounds at 4,000 machines hold the controller's mutex for seconds

One controller that owns 4,000 full machines and has 800 waiting jobs: a round takes 2.4 s of processor time if the jobs are starving, 10.7 s in every round if they also fit on no machine, and 13.3 s if they are critical and preempt. A controller has about a quarter of a core at that size, so one round holds the mutex that every status query locks several times, for ten seconds to a minute. Users wait two seconds.

--- /dev/null
+++ b/tests/large_fleet_test.cpp
@@ -0,0 +1,197 @@
+// Tests that the steps that hold the controller's mutex stay short with 4,000 machines.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <ctime>
+#include <iomanip>
+#include <sstream>
+#include <string>
+
+#include "base/log.h"
+#include "coordination/controller.h"
+#include "makers.h"
+
+namespace saddleslip::coordination {
+
+namespace {
+
+using testing::at_seconds;
+
+constexpr std::size_t kMachines = 4000;
+constexpr TaskNumber kTasksPerMachine = 16;
+constexpr TaskNumber kTasksPerJob = 64;
+constexpr std::size_t kWaitingJobs = 800;
+const std::string kZone = "a";
+const std::string kType = "large";
+const std::string kJobClass = "class";
+const std::string kTeam = "team";
+const std::string kImage = "image";
+const std::string kAddress = "10.0.0.9:1";
+constexpr int kIdDigits = 6;
+constexpr double kStarvingAfterSeconds = 200;
+constexpr double kSubmittedAt = 1000;  // seconds since 1970
+
+// Users wait two seconds for a status, for which their request locks the controller's mutex four
+// times, and a controller has at least a quarter of a processor core.
+constexpr double kMaxStepSeconds = 2.0 / 4 * 0.25;
+
+double processor_seconds() {
+  timespec now{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * 1e-9;
+}
+
+std::string job_name(std::size_t number) {
+  std::ostringstream name;
+  name << "run-" << std::setw(kIdDigits) << std::setfill('0') << number;
+  return name.str();
+}
+
+protocol::JobRecord make_record(const JobId& id, protocol::Rank rank, TaskNumber tasks,
+                                double cores) {
+  protocol::JobRecord record;
+  record.spec.id = id;
+  record.spec.job_class = kJobClass;
+  record.spec.team = kTeam;
+  record.spec.rank = rank;
+  record.spec.tasks = tasks;
+  record.spec.request = testing::make_resources(cores, 1);
+  record.spec.image = kImage;
+  record.spec.estimate = Seconds(20);
+  record.submitted_at = kSubmittedAt;
+  return record;
+}
+
+std::string machine_name(std::size_t number) {
+  std::ostringstream name;
+  name << "i-" << 100'000 + number;
+  return name.str();
+}
+
+}  // namespace
+
+// One controller that owns all machines. Each is filled with tasks of arrays that run for long.
+class LargeFleetTest : public ::testing::Test {
+ protected:
+  LargeFleetTest() {
+    spdlog::set_level(spdlog::level::off);
+    settings_.memory_bytes = 512u << 20;
+    controller_.begin_incarnation(self_, at_seconds(0));
+    controller_.set_time_of_day(at_seconds(0), kSubmittedAt);
+    auto type = testing::make_machine_type(kType, testing::make_resources(16, 64), 1, 0.5);
+    apply(protocol::kCatalogueKey, to_json(std::vector{type}));
+    View view;
+    view.epoch = Epoch(1);
+    view.members.push_back(self_);
+    apply(protocol::kViewKey, to_json(view));
+    controller_.install_view(at_seconds(0));
+    renew_authority(0);
+    for (std::size_t i = 0; i < kMachines * kTasksPerMachine / kTasksPerJob; ++i)
+      add_running_job(i);
+  }
+  void TearDown() override { spdlog::set_level(spdlog::level::info); }
+
+  void apply(const std::string& key, const protocol::Json& value) {
+    controller_.cache().apply({key, value, Version(++revision_)}, at_seconds(0));
+    controller_.cache().advance_to(base::Revision(revision_));
+  }
+  void renew_authority(double seconds) {
+    controller_.record_lease_acquired(at_seconds(seconds));
+    controller_.record_lease_renewed(at_seconds(seconds), controller_.cache_generation());
+  }
+  void add_running_job(std::size_t number) {
+    const JobId id(job_name(number));
+    apply(protocol::job_key(id),
+          to_json(make_record(id, protocol::Rank::kStandard, kTasksPerJob, 1)));
+    protocol::ChunkRecord chunk;
+    chunk.next_attempt = base::Attempt(2);
+    chunk.done.assign(kTasksPerJob, false);
+    for (TaskNumber task = 0; task < kTasksPerJob; ++task) {
+      const std::size_t machine = (number * kTasksPerJob + task) / kTasksPerMachine;
+      chunk.assigned[task] = {MachineId(machine_name(machine)), base::Attempt(1),
+                              AgentIncarnation(1)};
+    }
+    apply(protocol::chunk_record_key(id, 0), to_json(chunk, 0));
+  }
+  void send_heartbeats(double seconds, std::uint64_t token) {
+    ++sequence_;
+    for (std::size_t machine = 0; machine < kMachines; ++machine) {
+      Heartbeat heartbeat;
+      heartbeat.machine = MachineId(machine_name(machine));
+      heartbeat.address = kAddress;
+      heartbeat.type = kType;
+      heartbeat.zone = kZone;
+      heartbeat.agent_incarnation = AgentIncarnation(1);
+      heartbeat.sequence = base::Sequence(sequence_);
+      heartbeat.fencing_token = FencingToken(token);
+      for (std::size_t i = 0; i < kTasksPerMachine; ++i) {
+        const std::size_t task = machine * kTasksPerMachine + i;
+        heartbeat
+            .tasks[{JobId(job_name(task / kTasksPerJob)),
+                    static_cast<TaskNumber>(task % kTasksPerJob)}]
+            .push_back({base::Attempt(1), protocol::TaskState::kRunning, {}});
+      }
+      const auto reply = controller_.handle_heartbeat(heartbeat, at_seconds(seconds));
+      token_ = protocol::Json::parse(reply.body).at("reins");
+    }
+  }
+  // Adds jobs of one task each, which have waited since `kSubmittedAt`.
+  void add_waiting_jobs(protocol::Rank rank, double cores) {
+    protocol::Offers offers;
+    offers.from = self_;
+    offers.epoch = Epoch(1);
+    for (std::size_t i = 0; i < kWaitingJobs; ++i) {
+      const JobId id(job_name(500'000 + i));
+      apply(protocol::job_key(id), to_json(make_record(id, rank, 1, cores)));
+      offers.offers.push_back({id, {{0, 1}}});
+    }
+    offers_ = offers;
+  }
+  // Runs two rounds and returns the processor time of the longer one.
+  double longest_round_s(double seconds) {
+    renew_authority(seconds);
+    // A machine gets tasks once a heartbeat shows the fencing token of an earlier response.
+    for (int i = 0; i < 3; ++i) send_heartbeats(seconds, token_);
+    return std::max(round_seconds(seconds), round_seconds(seconds + 1));
+  }
+  double round_seconds(double seconds) {
+    controller_.add_offers(offers_, at_seconds(seconds));
+    const double began_at = processor_seconds();
+    controller_.plan_round(at_seconds(seconds), WriteBudget::kNormal);
+    return processor_seconds() - began_at;
+  }
+
+  const ControllerIncarnation self_{MemberId("n0"), base::Incarnation(7)};
+  base::Settings settings_ = testing::make_settings();
+  Controller controller_{settings_};
+  protocol::Offers offers_;
+  std::uint64_t revision_ = 0;
+  std::uint64_t sequence_ = 0;
+  std::uint64_t token_ = 0;
+};
+
+TEST_F(LargeFleetTest, RoundWithoutWaitingJobsIsShort) {
+  EXPECT_LT(longest_round_s(2), kMaxStepSeconds);
+}
+
+TEST_F(LargeFleetTest, RoundWithManyJobsThatHaveJustArrivedIsShort) {
+  add_waiting_jobs(protocol::Rank::kStandard, 4);
+  EXPECT_LT(longest_round_s(2), kMaxStepSeconds);
+}
+
+TEST_F(LargeFleetTest, RoundWithManyStarvingJobsIsShort) {
+  add_waiting_jobs(protocol::Rank::kStandard, 4);
+  EXPECT_LT(longest_round_s(kStarvingAfterSeconds), kMaxStepSeconds);
+}
+
+TEST_F(LargeFleetTest, RoundWithManyStarvingJobsThatFitNowhereIsShort) {
+  add_waiting_jobs(protocol::Rank::kStandard, 32);
+  EXPECT_LT(longest_round_s(kStarvingAfterSeconds), kMaxStepSeconds);
+}
+
+TEST_F(LargeFleetTest, RoundWithManyCriticalJobsIsShort) {
+  add_waiting_jobs(protocol::Rank::kCritical, 4);
+  EXPECT_LT(longest_round_s(2), kMaxStepSeconds);
+}
+
+}  // namespace saddleslip::coordination
--- a/tests/loopback/controller_processes.cpp
+++ b/tests/loopback/controller_processes.cpp
@@ -141,6 +141,7 @@
     unexpected_ends_.push_back(member_name(controller) + " ended by itself, wait status " +
                                std::to_string(status));
   } else {
+    check_memory(controller);
     ::kill(process.pid, SIGKILL);
     ::waitpid(process.pid, nullptr, 0);
   }
@@ -168,7 +169,9 @@
   for (std::size_t i = 0; i < processes_.size(); ++i) {
     Process& process = processes_[i];
     int status = 0;
-    if (process.pid == 0 || ::waitpid(process.pid, &status, WNOHANG) != process.pid) continue;
+    if (process.pid == 0) continue;
+    check_memory(i);
+    if (::waitpid(process.pid, &status, WNOHANG) != process.pid) continue;
     unexpected_ends_.push_back(member_name(i) + " ended by itself, wait status " +
                                std::to_string(status));
     process.pid = 0;
@@ -178,7 +181,20 @@
 
 std::size_t ControllerProcesses::peak_memory_bytes(std::size_t controller) {
   const std::lock_guard lock(mutex_);
-  std::ifstream status("/proc/" + std::to_string(processes_.at(controller).pid) + "/status");
+  return peak_memory_of(processes_.at(controller).pid);
+}
+
+void ControllerProcesses::check_memory(std::size_t controller) {
+  constexpr double kBytesPerMegabyte = 1 << 20;
+  const double peak_mb =
+      static_cast<double>(peak_memory_of(processes_[controller].pid)) / kBytesPerMegabyte;
+  if (peak_mb <= options_.memory_mb) return;
+  unexpected_ends_.push_back(member_name(controller) + " used " + std::to_string(peak_mb) +
+                             " MB of memory");
+}
+
+std::size_t ControllerProcesses::peak_memory_of(pid_t pid) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
   constexpr std::size_t kBytesPerKilobyte = 1024;
   const std::string field = "VmHWM:";
   for (std::string line; std::getline(status, line);) {
--- a/tests/loopback/controller_processes.h
+++ b/tests/loopback/controller_processes.h
@@ -27,6 +27,7 @@
     double processor_share = 1;
     // The field `settings` of the platform's file.
     nlohmann::json settings;
+    double memory_mb = 158;
     std::vector<int> state_ports;  // of the state service, for each controller
   };
   explicit ControllerProcesses(Options options);
@@ -51,7 +52,8 @@
   void resume(std::size_t controller);
   // Returns the largest resident memory that the process has had, or 0 if it is not running.
   std::size_t peak_memory_bytes(std::size_t controller);
-  // Returns a line for each process that has ended although kill() was not called for it.
+  // Returns a line for each process that has ended although kill() was not called for it, and for
+  // each that has used more memory than its quota.
   std::vector<std::string> unexpected_ends();
 
  private:
@@ -62,6 +64,9 @@
     int starts = 0;
   };
 
+  // Adds a line if the process has used more memory than its quota.
+  void check_memory(std::size_t controller);
+  static std::size_t peak_memory_of(pid_t pid);
   std::string write_settings(std::size_t controller) const;
   // Stops and continues the processes so that each gets its share of a core.
   void limit_processor_time();
--- a/tests/loopback/loopback_cluster.cpp
+++ b/tests/loopback/loopback_cluster.cpp
@@ -46,6 +46,7 @@
   result.folder = options.folder;
   result.log_level = options.log_level;
   result.processor_share = options.processor_share;
+  result.memory_mb = options.memory_mb;
   result.settings = settings_of(options);
   result.state_ports = state_ports(service, options.controllers);
   return result;
