A round examines each machine a bounded number of times, however many jobs wait

What callers saw: at about 4,000 machines, after a time of trouble, status queries for accepted jobs failed for over a minute.

Cause: for each starving job a round searched all machines and all tasks on them, and for each task of a job that may preempt it searched all machines twice, and sorted the tasks on each. The cost is jobs times machines (times tasks), under the mutex that a status query and a readiness probe need. The jobs that wait after an outage become starving or, as services, preempt at the moment when one controller owns all machines. Class of bug: a step under the mutex without a bound, which grows with the product of two sizes, so that more waiting work means fewer answers.

Fix: StarvationReservations examines the machines once in a round and remembers requirements that fit nowhere. PreemptionPlanner keeps the tasks that a rank may preempt for each machine, remembers failed searches and what it knows of machines with an image for one round, and examines at most 50,000 machines in a call; the next call begins with the job at which this one stopped.

--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -409,8 +409,6 @@
   // Returns how many tasks of a starving job go ahead of all other work; none if it is not
   // starving.
   std::optional<std::size_t> starving_tasks(const Job& job, Time now) const;
-  // Reserves a machine for a starving job, so that smaller tasks do not take its capacity first.
-  void reserve_capacity(const Job& job, Time now);
   // Returns the machines that have recorded assignments, are owned by this member, and have sent it
   // no heartbeat since it became the owner.
   const std::vector<MachineId>& owned_without_heartbeat(Time now);
--- a/src/coordination/scheduling/capacity_reservations.cpp
+++ b/src/coordination/scheduling/capacity_reservations.cpp
@@ -38,6 +38,12 @@
   return reservation != by_machine_.end() && reservation->second.job == job;
 }
 
+std::optional<JobId> CapacityReservations::job_of(const MachineId& machine) const {
+  const auto reservation = by_machine_.find(machine);
+  if (reservation == by_machine_.end()) return {};
+  return reservation->second.job;
+}
+
 bool CapacityReservations::is_reserved_for_other(const MachineId& machine, const JobId& job) const {
   const auto reservation = by_machine_.find(machine);
   return reservation != by_machine_.end() && reservation->second.job != job;
--- a/src/coordination/scheduling/capacity_reservations.h
+++ b/src/coordination/scheduling/capacity_reservations.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "storage/state_cache.h"
 
@@ -36,6 +37,8 @@
 
   bool is_reserved(const base::MachineId& machine) const { return by_machine_.contains(machine); }
   bool is_reserved_for(const base::MachineId& machine, const base::JobId& job) const;
+  // Returns the job that the machine is reserved for, if any.
+  std::optional<base::JobId> job_of(const base::MachineId& machine) const;
   // Returns whether the machine is reserved for a job other than this one.
   bool is_reserved_for_other(const base::MachineId& machine, const base::JobId& job) const;
   // Returns the number of machines that are reserved for starving jobs.
--- a/src/coordination/scheduling/preemption_planner.cpp
+++ b/src/coordination/scheduling/preemption_planner.cpp
@@ -24,6 +24,8 @@
 // elsewhere.
 constexpr Seconds kPreferPreemptionDuration{1.5};
 constexpr double kCoresRoundingError = 1e-6;
+// The number of machines that one call of preempt() may examine.
+constexpr std::size_t kMaxExaminedMachines = 50'000;
 
 }  // namespace
 
@@ -71,7 +73,7 @@
          may_run(spec, heartbeat.type, heartbeat.zone, heartbeat.spot);
 }
 
-bool PreemptionPlanner::prefers_preemption(const Job& job, Time now) const {
+bool PreemptionPlanner::prefers_preemption(const Job& job, Time now) {
   const JobSpec& spec = job.record.spec;
   if (spec.rank > protocol::Rank::kUrgent || !priorities_.start_within(spec)) return false;
   const auto preemption = last_preemption_at_.find(spec.id);
@@ -79,6 +81,17 @@
       base::between(preemption->second, now) > kPreferPreemptionDuration) {
     return false;
   }
+  if (has_machine_at_ != now) has_machine_.clear();
+  has_machine_at_ = now;
+  const auto [entry, is_new] = has_machine_.try_emplace(Requirement(spec), false);
+  if (is_new) entry->second = has_machine_for_preemption(spec, now);
+  return entry->second;
+}
+
+// Returns whether a machine with the job's image would have room for a task if all lower-ranking
+// tasks on it were evicted. An eviction does not change this: it makes preemptible resources
+// resources that are being freed.
+bool PreemptionPlanner::has_machine_for_preemption(const JobSpec& spec, Time now) const {
   const auto& machines = std::as_const(machines_);
   return std::any_of(machines.begin(), machines.end(), [&](const auto& entry) {
     const Machine& machine = entry.second;
@@ -142,13 +155,40 @@
   return victims;
 }
 
+const PreemptionPlanner::MachineVictims& PreemptionPlanner::victims_for_rank(
+    const Preemptor& preemptor, const Machine& machine, Time now) {
+  auto& by_machine = victims_by_rank_[preemptor.spec().rank];
+  const auto [entry, is_new] = by_machine.try_emplace(machine.last_heartbeat.machine);
+  if (is_new) entry->second = find_victims(preemptor, machine, now);
+  return entry->second;
+}
+
+PreemptionPlanner::MachineVictims PreemptionPlanner::find_victims(const Preemptor& preemptor,
+                                                                  const Machine& machine,
+                                                                  Time now) const {
+  MachineVictims found;
+  found.available = capacity_.of(machine).free;
+  found.available += stopping_resources(machine);
+  found.victims = victims_on(preemptor, machine, now);
+  return found;
+}
+
+bool PreemptionPlanner::depends_on_team(const Preemptor& preemptor) const {
+  return priorities_.is_guaranteed(*preemptor.job) ||
+         preemptor.cores_over_quota > kCoresRoundingError;
+}
+
 // Returns the tasks to evict from this machine so that one task of the job fits there, or nullopt
 // if evictions cannot free enough capacity.
 std::optional<PreemptionPlanner::EvictionPlan> PreemptionPlanner::plan_eviction(
-    const Preemptor& preemptor, const Machine& machine, Time now) const {
+    const Preemptor& preemptor, const Machine& machine, Time now) {
   const Resources& request = preemptor.spec().request;
-  Resources available = capacity_.of(machine).free;
-  available += stopping_resources(machine);
+  // Victims that depend on the team change with each eviction.
+  MachineVictims victims_of_team;
+  if (depends_on_team(preemptor)) victims_of_team = find_victims(preemptor, machine, now);
+  const MachineVictims& found =
+      depends_on_team(preemptor) ? victims_of_team : victims_for_rank(preemptor, machine, now);
+  Resources available = found.available;
   const auto claimed = preemptor.claimed.find(machine.last_heartbeat.machine);
   if (claimed != preemptor.claimed.end()) available -= claimed->second;
   // Skips the search for victims if they could not free enough. This does not hold for guaranteed
@@ -160,7 +200,7 @@
   }
   EvictionPlan plan;
   double cores_over_quota = preemptor.cores_over_quota;
-  for (const Victim& victim : victims_on(preemptor, machine, now)) {
+  for (const Victim& victim : found.victims) {
     if (available.fits(request) && cores_over_quota < kCoresRoundingError) break;
     cores_over_quota -= victim.request.cores();
     available += victim.request;
@@ -178,6 +218,7 @@
   const bool needs_image = prefers_preemption(*preemptor.job, now);
   Machine* best = nullptr;
   EvictionPlan best_plan;
+  examined_machines_ += machines_.size();
   for (auto& [id, machine] : machines_) {
     if (!is_candidate(machine, spec, now) || (needs_image && !machine.has_image(spec.image)) ||
         reservations_.is_reserved_for_other(id, spec.id)) {
@@ -204,6 +245,7 @@
     spdlog::info("task preempted: task={}/{} machine={} for_job={}", victim.job.get(), victim.no,
                  id.get(), spec.id.get());
     machine.tasks_to_evict.insert(victim);
+    for (auto& [rank, by_machine] : victims_by_rank_) by_machine.erase(id);
     const Job* job = cache_.job(victim.job);
     if (job) {
       preemptor.stopping_cores[job->record.spec.team] += job->record.spec.request.cores();
@@ -212,7 +254,24 @@
   last_preemption_at_[spec.id] = now;
 }
 
+bool PreemptionPlanner::preempt_for_job(Preemptor& preemptor, std::size_t tasks, Time now) {
+  // A search that failed for one job fails for each other job of equal rank and requirement, since
+  // evictions only reduce what can be preempted.
+  const std::pair search{preemptor.spec().rank, Requirement(preemptor.spec())};
+  if (failed_searches_.contains(search)) return true;
+  for (std::size_t remaining = tasks; remaining > 0; --remaining) {
+    if (examined_machines_ > kMaxExaminedMachines) return false;
+    if (preempt_for_one_task(preemptor, now)) continue;
+    if (preemptor.claimed.empty() && !depends_on_team(preemptor)) failed_searches_.insert(search);
+    return true;
+  }
+  return true;
+}
+
 void PreemptionPlanner::preempt(const std::vector<UnplacedJob>& jobs, Time now) {
+  victims_by_rank_.clear();
+  failed_searches_.clear();
+  examined_machines_ = 0;
   std::erase_if(last_preemption_at_, [&](const auto& entry) {
     return base::between(entry.second, now) > kPreemptionInterval || !cache_.job(entry.first);
   });
@@ -223,12 +282,19 @@
       })) {
     stopping = stopping_cores();
   }
-  for (const UnplacedJob& unplaced : jobs) {
+  std::vector<UnplacedJob> order = jobs;
+  const auto first = std::find_if(order.begin(), order.end(), [this](const UnplacedJob& unplaced) {
+    return next_job_ && unplaced.job->record.spec.id == *next_job_;
+  });
+  if (first != order.end()) std::rotate(order.begin(), first, order.end());
+  next_job_.reset();
+  for (const UnplacedJob& unplaced : order) {
     const JobSpec& spec = unplaced.job->record.spec;
     if (!priorities_.may_preempt(*unplaced.job) || last_preemption_at_.contains(spec.id)) continue;
     Preemptor preemptor{unplaced.job, cores_over_quota(spec), std::move(stopping), {}};
-    for (std::size_t remaining = unplaced.tasks; remaining > 0; --remaining) {
-      if (!preempt_for_one_task(preemptor, now)) break;
+    if (!preempt_for_job(preemptor, unplaced.tasks, now)) {
+      next_job_ = spec.id;
+      return;
     }
     stopping = std::move(preemptor.stopping_cores);
   }
--- a/src/coordination/scheduling/scheduling_round.cpp
+++ b/src/coordination/scheduling/scheduling_round.cpp
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "coordination/controller.h"
 #include "coordination/machines/commands_due.h"
+#include "coordination/scheduling/starvation_reservations.h"
 
 namespace saddleslip::coordination {
 
@@ -16,48 +17,10 @@
 namespace {
 
 constexpr Seconds kPartitionStatusMaxAge{4.0};  // with an older status a partition gets no offers
-constexpr Seconds kReservationDuration{60.0};
-// The controller reserves at most one in this many of its machines for starving jobs, plus one.
-constexpr std::size_t kMachinesPerReservation = 20;
 constexpr int kSlowFetchPass = 6;  // packing pass of machines that cannot fetch the image in time
 
 }  // namespace
 
-// Reserves a machine for a starving job until one of the job's tasks fits on it. Without the
-// reservation, smaller tasks would take all capacity that becomes free under sustained overload,
-// and a large task would never start.
-void Controller::reserve_capacity(const Job& job, Time now) {
-  const auto& spec = job.record.spec;
-  const Machine* best = nullptr;
-  // A reserved machine is partly idle, so the number of reservations is limited even if most
-  // waiting jobs are starving.
-  if (reservations_.count_for_starving_jobs() > machines_.size() / kMachinesPerReservation) return;
-  for (const auto& [id, machine] : machines_) {
-    if (reservations_.is_reserved_for(id, spec.id)) return;
-    if (reservations_.is_reserved(id) || machine.cordoned || !is_schedulable(machine, now) ||
-        !may_run(spec, machine.last_heartbeat.type, machine.last_heartbeat.zone,
-                 machine.last_heartbeat.spot)) {
-      continue;
-    }
-    // The machine's free capacity once all its tasks except those of services have completed.
-    Resources expected_free = capacity(machine).free;
-    for (const auto& [task, assignment] : cache_.assignments_on(id)) {
-      const Job* other_job = cache_.job(task.job);
-      if (other_job && other_job->record.spec.kind != Kind::kService &&
-          !reported_ended(machine, task, assignment)) {
-        expected_free += other_job->record.spec.request;
-      }
-    }
-    if (!expected_free.fits(spec.request)) continue;
-    if (!best || capacity(machine).free.cores() > capacity(*best).free.cores()) best = &machine;
-  }
-  if (!best) return;
-  spdlog::info("capacity reserved for starving job: machine={} job={}",
-               best->last_heartbeat.machine.get(), spec.id.get());
-  reservations_.reserve_for_starving_job(best->last_heartbeat.machine, spec.id,
-                                         base::after(now, kReservationDuration));
-}
-
 Seconds Controller::fetch_time(const Machine& machine, const protocol::JobSpec& spec) const {
   if (machine.has_image(spec.image)) return Seconds(0);
   const auto* type = cache_.type(machine.last_heartbeat.type);
@@ -318,8 +281,11 @@
     if (!waiting_job.tasks.empty() && !is_crash_looping(waiting_job.job->record.spec.id, now))
       unplaced.push_back({waiting_job.job, waiting_job.tasks.size()});
   }
+  std::optional<StarvationReservations> starvation;
   for (const auto& [job, tasks] : unplaced) {
-    if (starving_tasks(*job, now)) reserve_capacity(*job, now);
+    if (!starving_tasks(*job, now)) continue;
+    if (!starvation) starvation.emplace(cache_, capacity_, machines_, reservations_, now);
+    starvation->reserve(job->record.spec);
   }
   preemption_.preempt(unplaced, now);
 }
--- a/tests/loopback/controller_processes.cpp
+++ b/tests/loopback/controller_processes.cpp
@@ -25,25 +25,17 @@
 constexpr int kFirstPort = 12'000;
 constexpr int kPorts = 20'000;
 
-bool is_free(int port) {
-  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+// Returns a socket of this type that is bound to the port, or -1 if the port is in use.
+int bind_socket(int type, int port) {
+  const int socket = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   address.sin_port = htons(static_cast<std::uint16_t>(port));
-  const bool is_bound =
-      ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+  if (::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0)
+    return socket;
   ::close(socket);
-  return is_bound;
-}
-
-// Returns a port that is free now and was not returned before.
-int free_port() {
-  static std::atomic<int> next{static_cast<int>(::getpid()) * 16};
-  for (;;) {
-    const int port = kFirstPort + next++ % kPorts;
-    if (is_free(port)) return port;
-  }
+  return -1;
 }
 
 std::string loopback(int port) {
@@ -56,12 +48,27 @@
 
 }  // namespace
 
-ControllerProcesses::ControllerProcesses(Options options) : options_(std::move(options)) {
-  processes_.resize(options_.state_ports.size());
-  for (Process& process : processes_) {
-    process.port = free_port();
-    process.peer_port = free_port();
+ReservedPort::ReservedPort() {
+  static std::atomic<int> next{static_cast<int>(::getpid()) * 16};
+  while (guard_ < 0) {
+    port_ = kFirstPort + next++ % kPorts;
+    guard_ = bind_socket(SOCK_DGRAM, port_);
+    const int listener = guard_ < 0 ? -1 : bind_socket(SOCK_STREAM, port_);
+    if (listener >= 0) {
+      ::close(listener);
+    } else if (guard_ >= 0) {
+      ::close(guard_);
+      guard_ = -1;
+    }
   }
+}
+
+ReservedPort::~ReservedPort() {
+  ::close(guard_);
+}
+
+ControllerProcesses::ControllerProcesses(Options options) : options_(std::move(options)) {
+  processes_ = std::vector<Process>(options_.state_ports.size());
   if (options_.processor_share < 1) limiter_ = std::thread([this] { limit_processor_time(); });
 }
 
@@ -83,7 +90,7 @@
 
 std::vector<int> ControllerProcesses::ports() const {
   std::vector<int> ports;
-  for (const Process& process : processes_) ports.push_back(process.port);
+  for (const Process& process : processes_) ports.push_back(process.port.number());
   return ports;
 }
 
@@ -93,13 +100,13 @@
     if (i == controller) continue;
     siblings.push_back({{"member", member_name(i)},
                         {"area", kZones[i % std::size(kZones)]},
-                        {"address", loopback(processes_[i].peer_port)}});
+                        {"address", loopback(processes_[i].peer_port.number())}});
   }
   const Json root = {
       {"member", member_name(controller)},
       {"area", kZones[controller % std::size(kZones)]},
-      {"serve_on", loopback(processes_[controller].port)},
-      {"peer_listen", loopback(processes_[controller].peer_port)},
+      {"serve_on", loopback(processes_[controller].port.number())},
+      {"peer_listen", loopback(processes_[controller].peer_port.number())},
       {"siblings", siblings},
       {"endpoints",
        {{"cloud", loopback(cloud_port_)}, {"state", loopback(options_.state_ports[controller])}}},
--- a/tests/loopback/controller_processes.h
+++ b/tests/loopback/controller_processes.h
@@ -13,6 +13,22 @@
 
 namespace saddleslip::testing {
 
+// A TCP port of the loopback address that no other cluster on this machine uses. A controller that
+// is down does not hold its port, so a UDP socket of the same number reserves it.
+class ReservedPort {
+ public:
+  ReservedPort();
+  ~ReservedPort();
+  ReservedPort(const ReservedPort&) = delete;
+  ReservedPort& operator=(const ReservedPort&) = delete;
+
+  int number() const { return port_; }
+
+ private:
+  int port_ = 0;
+  int guard_ = -1;
+};
+
 // Starts the controllers and ends, pauses and restarts them. Their settings and logs are in a
 // folder.
 //
@@ -58,7 +74,7 @@
 
  private:
   struct Process {
-    int port = 0, peer_port = 0;
+    ReservedPort port, peer_port;
     pid_t pid = 0;  // 0: not running
     bool is_paused = false;
     int starts = 0;
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -1,6 +1,7 @@
 // Tests of real controller processes on loopback, with as much state as 4,000 machines have.
 #include <gtest/gtest.h>
 #include <httplib.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <filesystem>
@@ -57,7 +58,7 @@
 LoopbackOptions make_options(const std::string& folder) {
   LoopbackOptions options;
   options.program = CONTROLLER_PROGRAM;
-  options.folder = ::testing::TempDir() + folder;
+  options.folder = ::testing::TempDir() + folder + "-" + std::to_string(::getpid());
   std::filesystem::remove_all(options.folder);
   std::filesystem::create_directories(options.folder);
   options.machines = 10;
