--- a/src/daemon/activity_log.cpp
+++ b/src/daemon/activity_log.cpp
@@ -1,5 +1,6 @@
 #include "daemon/activity_log.h"
 
+#include <array>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,9 @@
 namespace {
 
 constexpr Seconds kInterval{10.0};
+// Indexed by StateClient::Purpose.
+constexpr std::array<const char*, protocol::StateClient::kPurposes> kPurposeNames = {
+    "commit", "read", "list", "lease", "watch", "changes"};
 // Users wait at most two seconds for a status, and need the mutex several times for it.
 constexpr Seconds kLongHold{0.5};
 
@@ -29,11 +33,31 @@
 void ActivityLog::run(const std::stop_token& stop) {
   while (!stop.stop_requested()) {
     sleep_for(kInterval, stop);
-    if (!stop.stop_requested()) log_interval();
+    if (stop.stop_requested()) return;
+    log_controller();
+    log_requests();
   }
 }
 
-void ActivityLog::log_interval() {
+void ActivityLog::log_requests() {
+  protocol::StateClient::RequestCounts total;
+  for (protocol::StateClient* client : sources_.state_clients) {
+    const auto counts = client->take_request_counts();
+    for (std::size_t i = 0; i < kPurposeNames.size(); ++i) {
+      total.sent[i] += counts.sent[i];
+      total.failed[i] += counts.failed[i];
+    }
+  }
+  std::string line;
+  for (std::size_t i = 0; i < kPurposeNames.size(); ++i)
+    line +=
+        fmt::format(" {0}={1} {0}_failed={2}", kPurposeNames[i], total.sent[i], total.failed[i]);
+  const transport::RefusedConnections refused = sources_.take_refused_connections();
+  spdlog::info("requests to the state service:{} refused_connections={} refused_agents={}", line,
+               refused.over_connection_limit, refused.over_path_limit);
+}
+
+void ActivityLog::log_controller() {
   const MonitoredMutex::Report mutex = context_.controller.mutex().take_report();
   if (mutex.hold.duration > kLongHold) {
     spdlog::warn("one step held the controller's mutex for long: hold_s={:.2f} caller={}",
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -77,6 +77,8 @@
       command_sender_(context_, worker_client_),
       scheduling_loop_(context_, state_client_, replicator_, command_sender_, peers_),
       fleet_loop_(context_, cloud_client_, replicator_),
+      activity_log_(context_, {{&state_client_, &user_state_client_},
+                               [this] { return server_->take_refused_connections(); }}),
       user_api_(settings_, controller_.mutex(), controller_.controller(), make_user_api_store()),
       http_routes_(context_, replicator_, user_api_, max_concurrent_user_requests(settings_)),
       peer_request_handler_(context_) {}
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -72,7 +72,7 @@
   CommandSender command_sender_;
   SchedulingLoop scheduling_loop_;
   FleetLoop fleet_loop_;
-  ActivityLog activity_log_{context_};
+  ActivityLog activity_log_;
 
   UserApi user_api_;
   HttpRoutes http_routes_;
--- a/src/protocol/state_client.cpp
+++ b/src/protocol/state_client.cpp
@@ -1,5 +1,7 @@
 #include "protocol/state_client.h"
 
+#include <utility>
+
 #include "base/log.h"
 #include "protocol/client_support.h"
 #include "protocol/wire_fields.h"
@@ -56,8 +58,25 @@
       renewals_(address, kMaxRenewals),
       watches_(address, kMaxWatches) {}
 
+StateClient::RequestCounts StateClient::take_request_counts() {
+  const std::lock_guard lock(counts_mutex_);
+  return std::exchange(counts_, {});
+}
+
+HttpResult StateClient::count(Purpose purpose, HttpResult response) {
+  // A key that does not exist, a conflict, a lease that has ended and a history that is not kept any
+  // more are valid responses.
+  const bool is_valid =
+      response.ok() || response.status == 404 || response.status == 409 || response.status == 410;
+  const std::lock_guard lock(counts_mutex_);
+  ++counts_.sent[static_cast<std::size_t>(purpose)];
+  if (!is_valid) ++counts_.failed[static_cast<std::size_t>(purpose)];
+  return response;
+}
+
 StateClient::CommitResult StateClient::commit(const Transaction& transaction, Seconds timeout) {
-  const HttpResult response = http_.post("/commit", to_json(transaction).dump(), timeout);
+  const HttpResult response =
+      count(Purpose::kCommit, http_.post("/commit", to_json(transaction).dump(), timeout));
   CommitResult result;
   if (response.delivery == Delivery::kNotSent) result.outcome = CommitOutcome::kRefused;
   if (response.delivery != Delivery::kAnswered) return result;
@@ -82,7 +101,7 @@
 }
 
 StateClient::GetResult StateClient::get(const std::string& key, Seconds timeout) {
-  const HttpResult response = http_.get("/store/" + key, timeout);
+  const HttpResult response = count(Purpose::kRead, http_.get("/store/" + key, timeout));
   GetResult result;
   if (response.delivery != Delivery::kAnswered) return result;
   if (response.status == 404) {
@@ -103,7 +122,7 @@
                                           Seconds timeout) {
   std::string path = "/store?starts=" + prefix + "&page=" + kPageSize;
   if (!after.empty()) path += "&after=" + after;
-  const HttpResult response = http_.get(path, timeout, kMaxResponseBytes);
+  const HttpResult response = count(Purpose::kList, http_.get(path, timeout, kMaxResponseBytes));
   ListResult result;
   if (!response.ok()) return result;
   Json body = parse_object(response);
@@ -121,7 +140,8 @@
 
 std::optional<LeaseId> StateClient::create_lease(Seconds ttl, Seconds timeout) {
   const auto ttl_ms = static_cast<std::uint64_t>(ttl.count() * 1000);
-  const HttpResult response = renewals_.post("/leases", Json{{"ttl_ms", ttl_ms}}.dump(), timeout);
+  const HttpResult response =
+      count(Purpose::kLease, renewals_.post("/leases", Json{{"ttl_ms", ttl_ms}}.dump(), timeout));
   if (!response.ok()) return {};
   const Json body = parse_object(response);
   const auto id = body.find(wire::kLease);
@@ -130,7 +150,8 @@
 }
 
 StateClient::RenewalOutcome StateClient::renew_lease(LeaseId lease, Seconds timeout) {
-  const HttpResult response = renewals_.post(lease_path(lease) + "/renew", "{}", timeout);
+  const HttpResult response =
+      count(Purpose::kLease, renewals_.post(lease_path(lease) + "/renew", "{}", timeout));
   if (response.ok()) return RenewalOutcome::kYes;
   const bool is_gone = response.delivery == Delivery::kAnswered && response.status == 404;
   return is_gone ? RenewalOutcome::kGone : RenewalOutcome::kUnknown;
@@ -169,14 +190,15 @@
 StateClient::WatchResult StateClient::watch(const std::string& prefix, Revision after,
                                             Seconds wait) {
   const std::string path = changes_path(prefix, after, wait);
-  return parse_changes_response(watches_.get(path, wait + kWatchTimeoutMargin, max_changes_bytes_),
-                                after);
+  HttpResult response = watches_.get(path, wait + kWatchTimeoutMargin, max_changes_bytes_);
+  return parse_changes_response(count(Purpose::kWatch, std::move(response)), after);
 }
 
 StateClient::WatchResult StateClient::changes(const std::string& prefix, Revision after,
                                               Seconds timeout) {
   const std::string path = changes_path(prefix, after, Seconds(0));
-  return parse_changes_response(http_.get(path, timeout, max_changes_bytes_), after);
+  HttpResult response = http_.get(path, timeout, max_changes_bytes_);
+  return parse_changes_response(count(Purpose::kChanges, std::move(response)), after);
 }
 
 }  // namespace saddleslip::protocol
--- a/src/protocol/state_client.h
+++ b/src/protocol/state_client.h
@@ -2,7 +2,9 @@
 // changes.
 #pragma once
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -23,6 +25,17 @@
   // as kTooOld.
   explicit StateClient(const base::Address& address, std::size_t max_changes_bytes = 8u << 20);
 
+  // The purposes of requests.
+  enum class Purpose { kCommit, kRead, kList, kLease, kWatch, kChanges };
+  static constexpr std::size_t kPurposes = 6;
+  // Numbers of requests, indexed by Purpose.
+  struct RequestCounts {
+    std::array<std::uint64_t, kPurposes> sent{};
+    std::array<std::uint64_t, kPurposes> failed{};  // refused, or without a valid response
+  };
+  // Returns the numbers of requests since the last call.
+  RequestCounts take_request_counts();
+
   // The outcome of a commit.
   enum class CommitOutcome {
     kDone,       // the transaction was committed
@@ -95,6 +108,8 @@
   WatchResult changes(const std::string& prefix, Revision after, Seconds timeout);
 
  private:
+  // Counts a request and returns its response.
+  transport::HttpResult count(Purpose purpose, transport::HttpResult response);
   WatchResult parse_changes_response(transport::HttpResult response, Revision after);
 
   const std::size_t max_changes_bytes_;
@@ -102,6 +117,8 @@
   transport::HttpClient renewals_;  // separate, so that queued calls do not delay lease renewals
   transport::HttpClient watches_;   // separate, as a watch occupies its connection while it waits
   std::mutex large_response_mutex_;
+  std::mutex counts_mutex_;
+  RequestCounts counts_;  // guarded by counts_mutex_
 };
 
 }  // namespace saddleslip::protocol
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -142,6 +142,11 @@
     connections_.clear();
   }
 
+  RefusedConnections take_refused_connections() {
+    const std::lock_guard lock(mutex_);
+    return std::exchange(refused_, {});
+  }
+
   int thread_count() {
     const std::lock_guard lock(mutex_);
     return static_cast<int>(threads_.size());
@@ -209,8 +214,11 @@
   bool process_and_close_socket(socket_t socket) override {
     const std::lock_guard lock(mutex_);
     FileDescriptor descriptor(socket);
-    if (is_stopping_ || static_cast<int>(connections_.size()) >= limits_.max_connections)
+    if (is_stopping_) return false;
+    if (static_cast<int>(connections_.size()) >= limits_.max_connections) {
+      ++refused_.over_connection_limit;
       return false;
+    }
     connections_[socket] = {std::move(descriptor), base::SteadyClock::now(), false, false};
     if (register_with_epoll(socket, EPOLL_CTL_ADD)) return true;
     connections_.erase(socket);
@@ -342,7 +350,10 @@
         t_connection->uses_limited_path)
       return true;
     const std::lock_guard lock(mutex_);
-    if (limited_path_connections_ >= limits_.max_limited_path_connections) return false;
+    if (limited_path_connections_ >= limits_.max_limited_path_connections) {
+      ++refused_.over_path_limit;
+      return false;
+    }
     ++limited_path_connections_;
     t_connection->uses_limited_path = true;
     return true;
@@ -357,6 +368,7 @@
   std::mutex mutex_;                                      // guards the members below
   std::unordered_map<socket_t, Connection> connections_;  // pointers to its elements stay valid
   std::vector<std::thread> threads_;
+  RefusedConnections refused_;
   int limited_path_connections_ = 0;  // connections with uses_limited_path
   base::Time last_sweep_at_{};
 };
@@ -374,6 +386,10 @@
   accept_thread_ = std::thread([this] { impl_->listen_after_bind(); });
 }
 
+RefusedConnections HttpServer::take_refused_connections() {
+  return impl_->take_refused_connections();
+}
+
 int HttpServer::thread_count() const {
   return impl_->thread_count();
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -30,6 +31,12 @@
   int max_limited_path_connections = 0;
 };
 
+// The connections that a server refused because of its limits.
+struct RefusedConnections {
+  std::uint64_t over_connection_limit = 0;
+  std::uint64_t over_path_limit = 0;
+};
+
 // An HTTP/1.1 server. All idle connections are watched with one epoll instance, and a bounded
 // number of threads serves the connections that have a request.
 //
@@ -51,6 +58,8 @@
 
   // Returns the port on which the server listens.
   int port() const { return port_; }
+  // Returns the refused connections since the last call. May be called from any thread.
+  RefusedConnections take_refused_connections();
   // Returns the number of serving threads started so far. May be called from any thread.
   int thread_count() const;
 
--- a/tests/loopback/soak.cpp
+++ b/tests/loopback/soak.cpp
@@ -27,7 +27,8 @@
   std::uint64_t seeds = 1;
   double fault_seconds = 40;
   double warm_up_seconds = 0;
-  std::string plan_path;  // empty: the plan follows from the seed
+  std::size_t final_services = 0;  // submitted after the last fault
+  std::string plan_path;           // empty: the plan follows from the seed
 };
 
 void sleep(double seconds) {
@@ -78,6 +79,7 @@
   cluster.start_users();
   sleep(options.warm_up_seconds);
   play_faults(plan, options.fault_seconds, cluster);
+  cluster.users().submit_services(options.final_services);
   const double waited_s = wait_for_answers(cluster);
   cluster.ledger().check_cancelled_tasks();
   auto problems = cluster.ledger().violations();
@@ -110,6 +112,8 @@
   app.add_option("--seeds", options.seeds, "the number of seeds");
   app.add_option("--seconds", options.fault_seconds, "the time in which faults occur");
   app.add_option("--warm-up", options.warm_up_seconds, "the time before the first fault");
+  app.add_option("--final-services", options.final_services,
+                 "services of half a machine that are submitted after the last fault");
   app.add_option("--plan", options.plan_path, "a file with the plan of faults");
   app.add_option("--machines", cluster.machines, "the number of machines");
   app.add_option("--controllers", cluster.controllers, "the number of controllers");
--- a/tests/loopback/user_clients.cpp
+++ b/tests/loopback/user_clients.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <memory>
 
+#include "loopback/agent.h"
+
 namespace saddleslip::testing {
 
 namespace {
@@ -153,6 +155,22 @@
   return controller;
 }
 
+void UserClients::submit_services(std::size_t count) {
+  for (std::size_t i = 0; i < count; ++i) {
+    LoopbackJob job;
+    job.id = job_id(++last_job_);
+    job.is_service = true;
+    job.cores = kMachineCores / 2;
+    ledger_.add_submission(job);
+    const int port = options_.controller_ports[i % options_.controller_ports.size()];
+    httplib::Client client("127.0.0.1", port);
+    client.set_read_timeout(kSubmissionTimeoutSeconds);
+    const auto sent_at = Clock::now();
+    const auto reply = client.Post(kSubmissions, job.submission(), kJsonType);
+    if (reply) ledger_.record_reply(job.id, reply->status, reply->body, sent_at);
+  }
+}
+
 int UserClients::call(ThreadState& state, const Call& request, const std::string& job) {
   const auto controller = choose_controller(state);
   if (!controller) {
--- a/tests/loopback/user_clients.h
+++ b/tests/loopback/user_clients.h
@@ -39,6 +39,8 @@
   UserClients(const UserClients&) = delete;
   UserClients& operator=(const UserClients&) = delete;
 
+  // Submits services of one task each, which ask for half a machine, to all controllers in turn.
+  void submit_services(std::size_t count);
   // Ends submissions and cancellations. From then on the users ask about every accepted job in
   // turn, through the load balancer only.
   void begin_quiet_time() { is_quiet_ = true; }
