Loopback tests: one way to send a request, one check of ended processes, dead functions removed

Found on reading the change once more; behaviour and assertions stay as they are. submit_services() sent and recorded requests as call() does: both use send(). kill() and unexpected_ends() had the same report of an ended process: check_ended(). job_name() stood in two tests: it is in makers.h. ClusterLedger::unfinished_jobs, StateServiceStandIn::size and revision, and a count of starts had no user.

--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <ctime>
-#include <iomanip>
 #include <sstream>
 #include <string>
 
@@ -16,6 +15,7 @@
 namespace {
 
 using testing::at_seconds;
+using testing::job_name;
 
 constexpr std::size_t kMachines = 4000;
 constexpr TaskNumber kTasksPerMachine = 16;
@@ -27,7 +27,6 @@
 const std::string kTeam = "team";
 const std::string kImage = "image";
 const std::string kAddress = "10.0.0.9:1";
-constexpr int kIdDigits = 6;
 constexpr double kStarvingAfterSeconds = 200;
 constexpr double kSubmittedAt = 1000;  // seconds since 1970
 
@@ -41,12 +40,6 @@
   return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * 1e-9;
 }
 
-std::string job_name(std::size_t number) {
-  std::ostringstream name;
-  name << "run-" << std::setw(kIdDigits) << std::setfill('0') << number;
-  return name.str();
-}
-
 protocol::JobRecord make_record(const JobId& id, protocol::Rank rank, TaskNumber tasks,
                                 double cores) {
   protocol::JobRecord record;
--- a/tests/loopback/cluster_ledger.cpp
+++ b/tests/loopback/cluster_ledger.cpp
@@ -106,15 +106,6 @@
   jobs_.at(id).is_cancellation_requested = true;
 }
 
-std::vector<std::string> ClusterLedger::unfinished_jobs() const {
-  const std::lock_guard lock(mutex_);
-  std::vector<std::string> ids;
-  for (const auto& [id, state] : jobs_) {
-    if (state.is_accepted && !state.final_status) ids.push_back(id);
-  }
-  return ids;
-}
-
 std::vector<std::string> ClusterLedger::accepted_jobs() const {
   const std::lock_guard lock(mutex_);
   std::vector<std::string> ids;
--- a/tests/loopback/cluster_ledger.h
+++ b/tests/loopback/cluster_ledger.h
@@ -48,8 +48,6 @@
                     Clock::time_point sent_at);
   // Records that a user is about to cancel the job.
   void record_cancellation_request(const std::string& id);
-  // Returns the accepted jobs of which no final state is known.
-  std::vector<std::string> unfinished_jobs() const;
   // Returns all accepted jobs.
   std::vector<std::string> accepted_jobs() const;
 
--- a/tests/loopback/controller_processes.cpp
+++ b/tests/loopback/controller_processes.cpp
@@ -136,23 +136,27 @@
   }
   process.pid = pid;
   process.is_paused = false;
-  ++process.starts;
 }
 
 void ControllerProcesses::kill(std::size_t controller) {
   const std::lock_guard lock(mutex_);
   Process& process = processes_.at(controller);
   if (process.pid == 0) return;
+  if (check_ended(controller)) return;
+  check_memory(controller);
+  ::kill(process.pid, SIGKILL);
+  ::waitpid(process.pid, nullptr, 0);
+  process.pid = 0;
+}
+
+bool ControllerProcesses::check_ended(std::size_t controller) {
+  Process& process = processes_[controller];
   int status = 0;
-  if (::waitpid(process.pid, &status, WNOHANG) == process.pid) {
-    unexpected_ends_.push_back(member_name(controller) + " ended by itself, wait status " +
-                               std::to_string(status));
-  } else {
-    check_memory(controller);
-    ::kill(process.pid, SIGKILL);
-    ::waitpid(process.pid, nullptr, 0);
-  }
+  if (::waitpid(process.pid, &status, WNOHANG) != process.pid) return false;
+  unexpected_ends_.push_back(member_name(controller) + " ended by itself, wait status " +
+                             std::to_string(status));
   process.pid = 0;
+  return true;
 }
 
 void ControllerProcesses::pause(std::size_t controller) {
@@ -174,14 +178,9 @@
 std::vector<std::string> ControllerProcesses::unexpected_ends() {
   const std::lock_guard lock(mutex_);
   for (std::size_t i = 0; i < processes_.size(); ++i) {
-    Process& process = processes_[i];
-    int status = 0;
-    if (process.pid == 0) continue;
+    if (processes_[i].pid == 0) continue;
     check_memory(i);
-    if (::waitpid(process.pid, &status, WNOHANG) != process.pid) continue;
-    unexpected_ends_.push_back(member_name(i) + " ended by itself, wait status " +
-                               std::to_string(status));
-    process.pid = 0;
+    check_ended(i);
   }
   return unexpected_ends_;
 }
--- a/tests/loopback/controller_processes.h
+++ b/tests/loopback/controller_processes.h
@@ -77,9 +77,10 @@
     ReservedPort port, peer_port;
     pid_t pid = 0;  // 0: not running
     bool is_paused = false;
-    int starts = 0;
   };
 
+  // Adds a line if the process has ended by itself. Returns whether it has.
+  bool check_ended(std::size_t controller);
   // Adds a line if the process has used more memory than its quota.
   void check_memory(std::size_t controller);
   static std::size_t peak_memory_of(pid_t pid);
--- a/tests/loopback/state_service_stand_in.cpp
+++ b/tests/loopback/state_service_stand_in.cpp
@@ -105,16 +105,6 @@
   return requests_;
 }
 
-std::size_t StateServiceStandIn::size() const {
-  const std::lock_guard lock(mutex_);
-  return records_.size();
-}
-
-std::uint64_t StateServiceStandIn::revision() const {
-  const std::lock_guard lock(mutex_);
-  return revision_;
-}
-
 // --- Requests
 
 void StateServiceStandIn::set_routes(std::size_t controller) {
--- a/tests/loopback/state_service_stand_in.h
+++ b/tests/loopback/state_service_stand_in.h
@@ -67,9 +67,6 @@
   std::map<std::string, std::uint64_t> rejected_requests() const;
   // Returns the number of requests that were received, by the kind of request.
   std::map<std::string, std::uint64_t> requests() const;
-  // Returns the number of stored values and the revision.
-  std::size_t size() const;
-  std::uint64_t revision() const;
 
  private:
   using Clock = std::chrono::steady_clock;
--- a/tests/loopback/user_clients.cpp
+++ b/tests/loopback/user_clients.cpp
@@ -164,10 +164,7 @@
     ledger_.add_submission(job);
     const int port = options_.controller_ports[i % options_.controller_ports.size()];
     httplib::Client client("127.0.0.1", port);
-    client.set_read_timeout(kSubmissionTimeoutSeconds);
-    const auto sent_at = Clock::now();
-    const auto reply = client.Post(kSubmissions, job.submission(), kJsonType);
-    if (reply) ledger_.record_reply(job.id, reply->status, reply->body, sent_at);
+    send(client, {kSubmissions, job.submission(), kSubmissionTimeoutSeconds}, job.id);
   }
 }
 
@@ -177,13 +174,17 @@
     count_reply(kNoHealthyController);
     return 0;
   }
-  httplib::Client& client = *state.clients[*controller];
+  const int status = send(*state.clients[*controller], request, job);
+  if (status == 0) state.balanced_controller.reset();
+  count_reply(status);
+  return status;
+}
+
+int UserClients::send(httplib::Client& client, const Call& request, const std::string& job) {
   client.set_read_timeout(request.timeout_s);
   const auto sent_at = Clock::now();
   const auto reply = request.body.empty() ? client.Get(request.path)
                                           : client.Post(request.path, request.body, kJsonType);
-  if (!reply) state.balanced_controller.reset();
-  count_reply(reply ? reply->status : 0);
   if (!reply) return 0;
   ledger_.record_reply(job, reply->status, reply->body, sent_at);
   return reply->status;
--- a/tests/loopback/user_clients.h
+++ b/tests/loopback/user_clients.h
@@ -15,6 +15,10 @@
 #include "loopback/cluster_ledger.h"
 #include "loopback/load_balancer.h"
 
+namespace httplib {
+class Client;
+}  // namespace httplib
+
 namespace saddleslip::testing {
 
 // Runs a fixed number of threads, each with one request at a time. The replies go to the ledger.
@@ -57,8 +61,10 @@
   };
 
   void run(std::size_t thread);
-  // Makes the request and records its reply about the job. Returns the status, 0 without a reply.
+  // Sends the request to the controller that is chosen for it and counts its reply.
   int call(ThreadState& state, const Call& request, const std::string& job);
+  // Sends a request and records its reply about the job. Returns the status, 0 without a reply.
+  int send(httplib::Client& client, const Call& request, const std::string& job);
   // Returns the controller that gets the next request, or nothing if none is healthy.
   std::optional<std::size_t> choose_controller(ThreadState& state);
   void submit_new_job(ThreadState& state);
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -35,12 +35,6 @@
 constexpr seconds kQueryTimeout{2};
 constexpr std::chrono::milliseconds kQueryInterval{50};
 
-std::string job_name(std::size_t number) {
-  std::ostringstream name;
-  name << "run-" << std::setw(6) << std::setfill('0') << number;
-  return name.str();
-}
-
 // Returns a task record whose tasks are all assigned.
 protocol::Json make_task_record(std::size_t number) {
   protocol::ChunkRecord record;
--- a/tests/makers.h
+++ b/tests/makers.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <chrono>
+#include <iomanip>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,6 +34,14 @@
   return base::parse_settings(json.dump());
 }
 
+// Returns the id of a job in the form that users give it, such as run-000412.
+inline std::string job_name(std::size_t number) {
+  constexpr int kDigits = 6;
+  std::ostringstream name;
+  name << "run-" << std::setw(kDigits) << std::setfill('0') << number;
+  return name.str();
+}
+
 // Returns resources without GPUs.
 inline protocol::Resources make_resources(double cores, double memory_gb) {
   protocol::Resources resources;
