Log lines for answers by status, command batches, and the age of the last read

The incident of unanswered queries could not be told from the logs: why an answer was refused, whether starts and stops reached the agents, and when the replica was last read up to date. Four lines every 10 s now, whatever the number of machines and requests.

--- a/src/daemon/activity_log.cpp
+++ b/src/daemon/activity_log.cpp
@@ -19,6 +19,8 @@
 // Indexed by StateClient::Purpose.
 constexpr std::array<const char*, protocol::StateClient::kPurposes> kPurposeNames = {
     "commit", "read", "list", "lease", "watch", "changes"};
+// Indexed by RequestSource.
+constexpr std::array<const char*, kRequestSources> kSourceNames = {"users", "agents", "probes"};
 // Users wait at most two seconds for a status, and need the mutex several times for it.
 constexpr Seconds kLongHold{0.5};
 
@@ -36,6 +38,8 @@
     if (stop.stop_requested()) return;
     log_controller();
     log_requests();
+    log_answers();
+    log_command_batches();
   }
 }
 
@@ -57,6 +61,25 @@
                refused.over_connection_limit, refused.over_path_limit);
 }
 
+void ActivityLog::log_answers() {
+  const RequestStatistics::Report report = sources_.http_routes.take_report();
+  std::string line;
+  for (std::size_t i = 0; i < kSourceNames.size(); ++i) {
+    line +=
+        fmt::format(" {0}_served={1} {0}_rejected={2} {0}_unavailable={3} {0}_slowest_s={4:.3f}",
+                    kSourceNames[i], report[i].served, report[i].rejected, report[i].unavailable,
+                    report[i].slowest.count());
+  }
+  const RequestReport& users = report[static_cast<std::size_t>(RequestSource::kUser)];
+  spdlog::info("requests answered:{} users_last_unavailable={}", line, users.last_unavailable);
+}
+
+void ActivityLog::log_command_batches() {
+  const CommandBatchReport report = sources_.command_sender.take_report();
+  spdlog::info("command batches: answered={} unanswered={} out_of_date={} dropped={}",
+               report.answered, report.unanswered, report.out_of_date, report.dropped);
+}
+
 void ActivityLog::log_controller() {
   const MonitoredMutex::Report mutex = context_.controller.mutex().take_report();
   if (mutex.hold.duration > kLongHold) {
@@ -82,11 +105,13 @@
     return result;
   });
   spdlog::info(
-      "controller activity: leader={} authority={} view={} first_token={} revision={} jobs={} "
+      "controller activity: leader={} authority={} view={} first_token={} revision={} "
+      "last_read_s={:.1f} jobs={} "
       "machines={} mutex_wait_s={:.3f} waiter={} mutex_hold_s={:.3f} holder={}",
       state.is_leader, state.has_authority, state.view, state.first_token, state.revision,
-      state.jobs, state.machines, mutex.wait.duration.count(), name_of(mutex.wait.caller),
-      mutex.hold.duration.count(), name_of(mutex.hold.caller));
+      sources_.replicator.time_since_read().count(), state.jobs, state.machines,
+      mutex.wait.duration.count(), name_of(mutex.wait.caller), mutex.hold.duration.count(),
+      name_of(mutex.hold.caller));
 }
 
 }  // namespace saddleslip
--- a/src/daemon/activity_log.h
+++ b/src/daemon/activity_log.h
@@ -6,13 +6,16 @@
 #include <utility>
 #include <vector>
 
+#include "daemon/command_sender.h"
+#include "daemon/http_routes.h"
 #include "daemon/shared_controller.h"
+#include "daemon/state_replicator.h"
 #include "protocol/clients.h"
 #include "transport/http_server.h"
 
 namespace saddleslip {
 
-// Logs two lines in each interval, so that its volume does not depend on the number of machines and
+// Logs four lines in each interval, so that its volume does not depend on the number of machines and
 // requests.
 class ActivityLog {
  public:
@@ -20,6 +23,9 @@
   struct Sources {
     std::vector<protocol::StateClient*> state_clients;
     std::function<transport::RefusedConnections()> take_refused_connections;
+    const StateReplicator& replicator;
+    CommandSender& command_sender;
+    HttpRoutes& http_routes;
   };
   ActivityLog(const DaemonContext& context, Sources sources)
       : context_(context), sources_(std::move(sources)) {}
@@ -30,6 +36,8 @@
  private:
   void log_controller();
   void log_requests();
+  void log_answers();
+  void log_command_batches();
 
   const DaemonContext context_;
   const Sources sources_;
--- a/src/daemon/command_sender.cpp
+++ b/src/daemon/command_sender.cpp
@@ -1,5 +1,7 @@
 #include "daemon/command_sender.h"
 
+#include <utility>
+
 #include "base/log.h"
 
 namespace saddleslip {
@@ -20,7 +22,10 @@
   {
     const std::lock_guard lock(mutex_);
     for (CommandBatch& batch : batches) {
-      if (queue_.size() >= kMaxQueuedBatches) break;
+      if (queue_.size() >= kMaxQueuedBatches) {
+        ++report_.dropped;
+        continue;
+      }
       queue_.push_back(std::move(batch));
     }
   }
@@ -41,20 +46,35 @@
   }
 }
 
+CommandBatchReport CommandSender::take_report() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(report_, {});
+}
+
+void CommandSender::count(std::uint64_t CommandBatchReport::*counter) {
+  const std::lock_guard lock(mutex_);
+  ++(report_.*counter);
+}
+
 void CommandSender::send(CommandBatch batch) {
   SharedController& shared_controller = context_.controller;
   const bool may_send = shared_controller.with_lock([&](Controller& controller) {
     return controller.drop_stale_commands(batch, SteadyClock::now());
   });
-  if (!may_send) return;
+  if (!may_send) {
+    count(&CommandBatchReport::out_of_date);
+    return;
+  }
   const auto response = worker_client_.send_commands(
       batch.address, batch.fencing_token, batch.agent_incarnation, batch.commands, kCommandTimeout);
   if (response.delivery != transport::Delivery::kAnswered) {
+    count(&CommandBatchReport::unanswered);
     spdlog::info("no response to command batch: machine={}", batch.machine.get());
     shared_controller.with_lock(
         [&](Controller& controller) { controller.handle_undelivered_commands(batch.machine); });
     return;
   }
+  count(&CommandBatchReport::answered);
   shared_controller.with_lock([&](Controller& controller) {
     controller.handle_command_reply(batch.machine, response.heartbeat, SteadyClock::now());
   });
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -78,7 +78,10 @@
       scheduling_loop_(context_, state_client_, replicator_, command_sender_, peers_),
       fleet_loop_(context_, cloud_client_, replicator_),
       activity_log_(context_, {{&state_client_, &user_state_client_},
-                               [this] { return server_->take_refused_connections(); }}),
+                               [this] { return server_->take_refused_connections(); },
+                               replicator_,
+                               command_sender_,
+                               http_routes_}),
       user_api_(settings_, controller_.mutex(), controller_.controller(), make_user_api_store()),
       http_routes_(context_, replicator_, user_api_, max_concurrent_user_requests(settings_)),
       peer_request_handler_(context_) {}
--- a/src/daemon/http_routes.cpp
+++ b/src/daemon/http_routes.cpp
@@ -32,15 +32,35 @@
          });
 }
 
+RequestSource source_of(const Request& request) {
+  if (request.path == protocol::kHeartbeatPath) return RequestSource::kAgent;
+  if (request.path == protocol::kReadinessPath) return RequestSource::kLoadBalancer;
+  return RequestSource::kUser;
+}
+
 }  // namespace
 
 Reply HttpRoutes::serve(const Request& request) {
-  if (request.path == protocol::kHeartbeatPath) {
-    return request.method == "POST" ? handle_heartbeat(request.body) : wrong_method();
-  }
-  if (request.path == protocol::kReadinessPath) {
-    return request.method == "GET" ? handle_readiness_probe() : wrong_method();
+  const Time began_at = SteadyClock::now();
+  const RequestSource source = source_of(request);
+  Reply reply = serve_from(source, request);
+  statistics_.record(source, reply, base::between(began_at, SteadyClock::now()));
+  return reply;
+}
+
+Reply HttpRoutes::serve_from(RequestSource source, const Request& request) {
+  switch (source) {
+    case RequestSource::kAgent:
+      return request.method == "POST" ? handle_heartbeat(request.body) : wrong_method();
+    case RequestSource::kLoadBalancer:
+      return request.method == "GET" ? handle_readiness_probe() : wrong_method();
+    case RequestSource::kUser:
+      break;
   }
+  return admit_user_request(request);
+}
+
+Reply HttpRoutes::admit_user_request(const Request& request) {
   const bool is_admitted = active_user_requests_.fetch_add(1) < max_concurrent_user_requests_;
   Reply reply = is_admitted ? serve_user_request(request)
                             : error_reply(503, "too many requests are waiting", 1);
--- a/src/daemon/http_routes.h
+++ b/src/daemon/http_routes.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "api/user_api.h"
+#include "daemon/request_statistics.h"
 #include "daemon/shared_controller.h"
 #include "daemon/state_replicator.h"
 #include "transport/http.h"
@@ -28,7 +29,13 @@
   // Returns the reply to a request of any path and method.
   transport::Reply serve(const transport::Request& request);
 
+  // Returns how requests were answered since the last call.
+  RequestStatistics::Report take_report() { return statistics_.take_report(); }
+
  private:
+  transport::Reply serve_from(RequestSource source, const transport::Request& request);
+  // Serves a submission, a status request or a cancellation, unless too many are being served.
+  transport::Reply admit_user_request(const transport::Request& request);
   // Serves a submission, a status request or a cancellation.
   transport::Reply serve_user_request(const transport::Request& request);
   // Serves a request for one job. `id` is the path after the submissions path and its slash; a
@@ -45,7 +52,8 @@
   UserApi& user_api_;
   const int max_concurrent_user_requests_;
   std::atomic<int> active_user_requests_{0};  // being served now
-  std::atomic<bool> was_ready_{false};        // a readiness probe was answered with 200 before
+  RequestStatistics statistics_;
+  std::atomic<bool> was_ready_{false};  // a readiness probe was answered with 200 before
 };
 
 }  // namespace saddleslip
--- a/src/daemon/state_replicator.cpp
+++ b/src/daemon/state_replicator.cpp
@@ -127,12 +127,17 @@
     return true;
   });
   if (!is_current) return false;
+  last_read_at_ = SteadyClock::now();
   const bool is_first_load = !is_loaded_.exchange(true);
   if (is_first_load || has_membership_changed) context_.wakeups.lease_renewal.notify();
   if (has_changed) context_.wakeups.scheduling.notify();
   return true;
 }
 
+Seconds StateReplicator::time_since_read() const {
+  return base::between(last_read_at_, SteadyClock::now());
+}
+
 bool StateReplicator::commit(const protocol::Transaction& transaction) {
   const auto commit_result = state_client_.commit(transaction, kCommitTimeout);
   if (commit_result.outcome == CommitOutcome::kDone) {
--- a/src/daemon/state_replicator.h
+++ b/src/daemon/state_replicator.h
@@ -26,6 +26,9 @@
   // Returns whether the copy has been loaded completely at least once.
   bool is_loaded() const { return is_loaded_; }
 
+  // Returns the time since changes were last read from the state service, also if there were none.
+  base::Seconds time_since_read() const;
+
   // Reads and applies all changes in the state service up to this call. Returns whether the copy is
   // known to be current as of the call.
   bool catch_up(base::Seconds timeout);
@@ -52,6 +55,7 @@
 
   const DaemonContext context_;
   protocol::StateClient& state_client_;
+  std::atomic<base::Time> last_read_at_{base::SteadyClock::now()};
   std::atomic<bool> is_loaded_{false};  // stays true while the copy is reloaded
 };
 
