--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -82,6 +82,7 @@
     view.epoch = Epoch(1);
     view.members.push_back(self_);
     apply(protocol::kViewKey, to_json(view));
+    apply(protocol::kLeaderKey, to_json(self_));
     controller_.install_view(at_seconds(0));
     renew_authority(0);
     for (std::size_t i = 0; i < kMachines * kTasksPerMachine / kTasksPerJob; ++i)
@@ -105,11 +106,27 @@
       add_waiting_job(record);
     }
   }
+  // Returns the processor time in which the tasks of all waiting jobs are offered.
+  double routing_s(double seconds) {
+    confirm_machines(seconds);
+    const double began_at = processor_seconds();
+    controller_.route_waiting_tasks(at_seconds(seconds));
+    return processor_seconds() - began_at;
+  }
+  // Returns the processor time in which the leader decides which machines to rent and to release.
+  double scaling_s(double seconds) {
+    confirm_machines(seconds);
+    EXPECT_TRUE(controller_.is_leader(at_seconds(seconds)));
+    const double began_at = processor_seconds();
+    const ScalingActions actions =
+        controller_.plan_scaling(at_seconds(seconds), kSubmittedAt + seconds);
+    const double took = processor_seconds() - began_at;
+    EXPECT_EQ(actions.plan.scale_out.empty(), offers_.offers.empty());
+    return took;
+  }
   // Runs two rounds and returns the processor time of the longer one.
   double longest_round_s(double seconds) {
-    renew_authority(seconds);
-    // A machine gets tasks once a heartbeat shows the fencing token of an earlier response.
-    for (int i = 0; i < 3; ++i) send_heartbeats(seconds, token_);
+    confirm_machines(seconds);
     return std::max(round_seconds(seconds), round_seconds(seconds + 1));
   }
 
@@ -136,6 +153,11 @@
     }
     apply(protocol::chunk_record_key(id, 0), to_json(chunk, 0));
   }
+  // A machine gets tasks once a heartbeat shows the fencing token of an earlier response.
+  void confirm_machines(double seconds) {
+    renew_authority(seconds);
+    for (int i = 0; i < 3; ++i) send_heartbeats(seconds, token_);
+  }
   void send_heartbeats(double seconds, std::uint64_t token) {
     ++sequence_;
     for (std::size_t machine = 0; machine < kMachines; ++machine) {
@@ -180,21 +202,34 @@
   std::uint64_t token_ = 0;
 };
 
-// Returns the processor time of the longest round of a fleet with these waiting jobs: the least of
-// three fleets, since other processes on the machine can only add to it.
-double longest_round_s(double seconds, const std::function<void(LargeFleet&)>& add_jobs) {
+using AddJobs = std::function<void(LargeFleet&)>;
+
+// Returns the processor time of a step of a fleet with these waiting jobs: the least of three
+// fleets, since other processes on the machine can only add to it.
+double least_processor_s(const AddJobs& add_jobs, const std::function<double(LargeFleet&)>& step) {
   constexpr int kFleets = 3;
   spdlog::set_level(spdlog::level::off);
   double least = std::numeric_limits<double>::infinity();
   for (int i = 0; i < kFleets; ++i) {
     LargeFleet fleet;
     add_jobs(fleet);
-    least = std::min(least, fleet.longest_round_s(seconds));
+    least = std::min(least, step(fleet));
   }
   spdlog::set_level(spdlog::level::info);
   return least;
 }
 
+double longest_round_s(double seconds, const AddJobs& add_jobs) {
+  return least_processor_s(add_jobs,
+                           [&](LargeFleet& fleet) { return fleet.longest_round_s(seconds); });
+}
+
+// Adds starving jobs of many sizes and critical ones.
+void add_mixed_jobs(LargeFleet& fleet) {
+  fleet.add_waiting_jobs_of_different_sizes(protocol::Rank::kStandard, 4);
+  fleet.add_waiting_jobs(protocol::Rank::kCritical, 4);
+}
+
 TEST(LargeFleetTest, RoundWithoutWaitingJobsIsShort) {
   EXPECT_LT(longest_round_s(2, [](LargeFleet&) {}), kMaxStepSeconds);
 }
@@ -249,4 +284,14 @@
   EXPECT_LT(longest_round_s(kStarvingAfterSeconds, add_jobs), kMaxStepSeconds);
 }
 
+TEST(LargeFleetTest, RoutingOfManyJobsIsShort) {
+  const auto route = [](LargeFleet& fleet) { return fleet.routing_s(kStarvingAfterSeconds); };
+  EXPECT_LT(least_processor_s(add_mixed_jobs, route), kMaxStepSeconds);
+}
+
+TEST(LargeFleetTest, ScalingPlanForManyJobsIsShort) {
+  const auto plan = [](LargeFleet& fleet) { return fleet.scaling_s(kStarvingAfterSeconds); };
+  EXPECT_LT(least_processor_s(add_mixed_jobs, plan), kMaxStepSeconds);
+}
+
 }  // namespace saddleslip::coordination
--- a/tests/loopback/agent_swarm.cpp
+++ b/tests/loopback/agent_swarm.cpp
@@ -12,6 +12,8 @@
 #include <stdexcept>
 
 #include "loopback/http_message.h"
+#include "loopback/socket_address.h"
+#include "loopback/zones.h"
 
 namespace saddleslip::testing {
 
@@ -32,21 +34,12 @@
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr std::size_t kIdDigits = 6;
-const char* const kZones[] = {"a", "b", "c"};
 
 AgentSwarm::Time later(AgentSwarm::Time from, double seconds) {
   return from + std::chrono::duration_cast<AgentSwarm::Clock::duration>(
                     std::chrono::duration<double>(seconds));
 }
 
-sockaddr_in loopback_address(int port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(static_cast<std::uint16_t>(port));
-  return address;
-}
-
 void watch_socket(int epoll, int socket, bool wants_output, int operation) {
   epoll_event event{};
   event.events = EPOLLIN | (wants_output ? static_cast<std::uint32_t>(EPOLLOUT) : 0U);
@@ -76,7 +69,7 @@
 // --- Machines
 
 std::string AgentSwarm::zone_of(const std::string& machine) {
-  return kZones[std::stoul(machine.substr(2)) % std::size(kZones)];
+  return zone_by_number(std::stoul(machine.substr(2)));
 }
 
 void AgentSwarm::add_machine(Time now) {
--- a/tests/loopback/cloud_stand_in.cpp
+++ b/tests/loopback/cloud_stand_in.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "loopback/zones.h"
+
 namespace saddleslip::testing {
 
 using Json = nlohmann::json;
@@ -23,10 +25,10 @@
   using httplib::Response;
   server_->new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
   server_->Get("/catalog", [](const Request&, Response& response) {
-    const Json type = {
-        {"sku", kMachineType}, {"cores", kMachineCores},     {"gpus", 0},    {"memory_gb", 64},
-        {"cache_gb", 50},      {"fetch_gb_per_s", 1.0},      {"price", 1.0}, {"market_price", 0.5},
-        {"ready_s", 20},       {"paddocks", {"a", "b", "c"}}};
+    const Json type = {{"sku", kMachineType}, {"cores", kMachineCores}, {"gpus", 0},
+                       {"memory_gb", 64},     {"cache_gb", 50},         {"fetch_gb_per_s", 1.0},
+                       {"price", 1.0},        {"market_price", 0.5},    {"ready_s", 20},
+                       {"paddocks", kZones}};
     response.set_content(Json{{"breeds", {type}}}.dump(), kJsonType);
   });
   server_->Get("/rentals", [this](const Request& request, Response& response) {
--- a/tests/loopback/controller_processes.cpp
+++ b/tests/loopback/controller_processes.cpp
@@ -11,6 +11,9 @@
 #include <cstdlib>
 #include <fstream>
 
+#include "loopback/socket_address.h"
+#include "loopback/zones.h"
+
 namespace saddleslip::testing {
 
 using Json = nlohmann::json;
@@ -18,7 +21,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kLimiterPeriod{50};
-const char* const kZones[] = {"a", "b", "c"};
 
 // The range of the controllers' ports. It is below the range from which the system takes the ports
 // of outgoing connections, which could otherwise occupy the port of a controller that is down.
@@ -28,10 +30,7 @@
 // Returns a socket of this type that is bound to the port, or -1 if the port is in use.
 int bind_socket(int type, int port) {
   const int socket = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  const sockaddr_in address = loopback_address(port);
   if (::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0)
     return socket;
   ::close(socket);
@@ -99,12 +98,12 @@
   for (std::size_t i = 0; i < processes_.size(); ++i) {
     if (i == controller) continue;
     siblings.push_back({{"member", member_name(i)},
-                        {"area", kZones[i % std::size(kZones)]},
+                        {"area", zone_by_number(i)},
                         {"address", loopback(processes_[i].peer_port.number())}});
   }
   const Json root = {
       {"member", member_name(controller)},
-      {"area", kZones[controller % std::size(kZones)]},
+      {"area", zone_by_number(controller)},
       {"serve_on", loopback(processes_[controller].port.number())},
       {"peer_listen", loopback(processes_[controller].peer_port.number())},
       {"siblings", siblings},
--- a/tests/loopback/loopback_cluster.cpp
+++ b/tests/loopback/loopback_cluster.cpp
@@ -1,5 +1,7 @@
 #include "loopback/loopback_cluster.h"
 
+#include "loopback/zones.h"
+
 namespace saddleslip::testing {
 
 using Json = nlohmann::json;
@@ -17,7 +19,7 @@
 Json settings_of(const LoopbackOptions& options) {
   const Json team = {{"name", "team"}, {"cpus", 0}, {"cpus_max", 0}, {"gpus", 0}, {"gpus_max", 0}};
   return {{"size", options.controllers},
-          {"zones", {"a", "b", "c"}},
+          {"zones", kZones},
           {"teams", {team}},
           {"objectives", Json::array()},
           {"workers",
