Tests: one fixture of a filled machine, waiting jobs as data, one way to number names

EvictableTasksTest and PreemptionPlannerTest had the same set-up, and LargeFleet two loops that differ in one field. Zero-padded names of jobs and machines were built twice in tests/loopback. Assertions, bounds and the jobs and names that the tests use are unchanged.

--- a/tests/evictable_tasks_test.cpp
+++ b/tests/evictable_tasks_test.cpp
@@ -1,32 +1,16 @@
 // Tests of the tasks that could be evicted from a machine.
 #include "coordination/scheduling/evictable_tasks.h"
 
-#include "coordination/machines/machine_registry.h"
+#include <algorithm>
+
 #include "machine_fixture.h"
 
 namespace saddleslip::coordination {
 
-using base::FencingToken;
-using base::MachineId;
-using protocol::Rank;
 using protocol::TaskState;
 
-// One machine that is filled by four tasks of the job kOther, which started one second apart. The
-// task with the highest number started last.
-class EvictableTasksTest : public MachineFixture {
+class EvictableTasksTest : public FilledMachineFixture {
  protected:
-  EvictableTasksTest() {
-    registry_.install_view({FencingToken(10), at(0), true}, [](const MachineId&) { return true; });
-    add_job(kOther, Rank::kIdle);
-    assign(kOther,
-           {{0, assignment(1)}, {1, assignment(2)}, {2, assignment(3)}, {3, assignment(4)}});
-    heartbeat_ = heartbeat(0, 10);
-    for (base::TaskNumber task = 0; task < 4; ++task) {
-      heartbeat_.sequence = base::Sequence(task + 1);
-      report(heartbeat_, {kOther, task}, task + 1, TaskState::kRunning);
-      registry_.record_heartbeat(heartbeat_, HeartbeatSource::kAgent, at(task));
-    }
-  }
   std::vector<base::TaskNumber> evictable() {
     std::vector<base::TaskNumber> numbers;
     for (const EvictableTask& task : tasks_.on(machine(), at(4)).tasks)
@@ -37,12 +21,7 @@
   double task_cores() const { return cache_.job(kOther)->record.spec.request.cores(); }
 
   using Numbers = std::vector<base::TaskNumber>;
-  JobPriorities priorities_{settings_, cache_};
-  AttemptTracker attempts_{cache_};
-  CapacityCalculator capacity_{cache_, priorities_, attempts_};
-  MachineRegistry registry_{settings_, cache_, capacity_};
   EvictableTasks tasks_{cache_, capacity_};
-  protocol::Heartbeat heartbeat_;
 };
 
 TEST_F(EvictableTasksTest, TasksAreInAscendingOrderOfTheWorkLost) {
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include "base/log.h"
 #include "coordination/controller.h"
@@ -31,6 +32,7 @@
 const std::string kImage = "image";
 const std::string kAddress = "10.0.0.9:1";
 constexpr double kGuaranteedCores = 8000;
+constexpr double kMemoryStepGb = 0.001;
 constexpr double kStarvingAfterSeconds = 200;
 constexpr double kSubmittedAt = 1000;  // seconds since 1970
 
@@ -67,6 +69,14 @@
 
 }  // namespace
 
+// Jobs of one task each, which have waited since `kSubmittedAt`.
+struct WaitingJobs {
+  protocol::Rank rank;
+  double cores;
+  std::string team = kTeam;
+  double memory_step_gb = 0;  // by which each job requests more memory than the one before
+};
+
 // One controller that owns all machines. Each is filled with tasks of arrays that run for long.
 class LargeFleet {
  public:
@@ -88,21 +98,13 @@
     for (std::size_t i = 0; i < kMachines * kTasksPerMachine / kTasksPerJob; ++i)
       add_running_job(i);
   }
-  // Adds jobs of one task each, which have waited since `kSubmittedAt`.
-  void add_waiting_jobs(protocol::Rank rank, double cores, const std::string& team = kTeam) {
-    for (std::size_t i = 0; i < kWaitingJobs; ++i) {
-      const JobId id(job_name(500'000 + offers_.offers.size()));
-      protocol::JobRecord record = make_record(id, rank, 1, cores);
-      record.spec.team = team;
-      add_waiting_job(record);
-    }
-  }
-  // Adds jobs as above, each of which requests another amount of memory.
-  void add_waiting_jobs_of_different_sizes(protocol::Rank rank, double cores) {
+  void add_waiting_jobs(const WaitingJobs& jobs) {
     for (std::size_t i = 0; i < kWaitingJobs; ++i) {
       const JobId id(job_name(500'000 + offers_.offers.size()));
-      protocol::JobRecord record = make_record(id, rank, 1, cores);
-      record.spec.request = testing::make_resources(cores, 1 + static_cast<double>(i) / 1000);
+      protocol::JobRecord record = make_record(id, jobs.rank, 1, jobs.cores);
+      record.spec.team = jobs.team;
+      record.spec.request =
+          testing::make_resources(jobs.cores, 1 + static_cast<double>(i) * jobs.memory_step_gb);
       add_waiting_job(record);
     }
   }
@@ -202,96 +204,79 @@
   std::uint64_t token_ = 0;
 };
 
-using AddJobs = std::function<void(LargeFleet&)>;
+using Waiting = std::vector<WaitingJobs>;
 
 // Returns the processor time of a step of a fleet with these waiting jobs: the least of three
 // fleets, since other processes on the machine can only add to it.
-double least_processor_s(const AddJobs& add_jobs, const std::function<double(LargeFleet&)>& step) {
+double least_processor_s(const Waiting& waiting, const std::function<double(LargeFleet&)>& step) {
   constexpr int kFleets = 3;
   spdlog::set_level(spdlog::level::off);
   double least = std::numeric_limits<double>::infinity();
   for (int i = 0; i < kFleets; ++i) {
     LargeFleet fleet;
-    add_jobs(fleet);
+    for (const WaitingJobs& jobs : waiting) fleet.add_waiting_jobs(jobs);
     least = std::min(least, step(fleet));
   }
   spdlog::set_level(spdlog::level::info);
   return least;
 }
 
-double longest_round_s(double seconds, const AddJobs& add_jobs) {
-  return least_processor_s(add_jobs,
+double longest_round_s(double seconds, const Waiting& waiting) {
+  return least_processor_s(waiting,
                            [&](LargeFleet& fleet) { return fleet.longest_round_s(seconds); });
 }
 
-// Adds starving jobs of many sizes and critical ones.
-void add_mixed_jobs(LargeFleet& fleet) {
-  fleet.add_waiting_jobs_of_different_sizes(protocol::Rank::kStandard, 4);
-  fleet.add_waiting_jobs(protocol::Rank::kCritical, 4);
-}
+// Starving jobs of many sizes and critical ones.
+const Waiting kMixedJobs = {{protocol::Rank::kStandard, 4, kTeam, kMemoryStepGb},
+                            {protocol::Rank::kCritical, 4}};
 
 TEST(LargeFleetTest, RoundWithoutWaitingJobsIsShort) {
-  EXPECT_LT(longest_round_s(2, [](LargeFleet&) {}), kMaxStepSeconds);
+  EXPECT_LT(longest_round_s(2, {}), kMaxStepSeconds);
 }
 
 TEST(LargeFleetTest, RoundWithManyJobsThatHaveJustArrivedIsShort) {
-  const auto add_jobs = [](LargeFleet& fleet) {
-    fleet.add_waiting_jobs(protocol::Rank::kStandard, 4);
-  };
-  EXPECT_LT(longest_round_s(2, add_jobs), kMaxStepSeconds);
+  const Waiting waiting = {{protocol::Rank::kStandard, 4}};
+  EXPECT_LT(longest_round_s(2, waiting), kMaxStepSeconds);
 }
 
 TEST(LargeFleetTest, RoundWithManyStarvingJobsIsShort) {
-  const auto add_jobs = [](LargeFleet& fleet) {
-    fleet.add_waiting_jobs(protocol::Rank::kStandard, 4);
-  };
-  EXPECT_LT(longest_round_s(kStarvingAfterSeconds, add_jobs), kMaxStepSeconds);
+  const Waiting waiting = {{protocol::Rank::kStandard, 4}};
+  EXPECT_LT(longest_round_s(kStarvingAfterSeconds, waiting), kMaxStepSeconds);
 }
 
 TEST(LargeFleetTest, RoundWithManyStarvingJobsThatFitNowhereIsShort) {
-  const auto add_jobs = [](LargeFleet& fleet) {
-    fleet.add_waiting_jobs(protocol::Rank::kStandard, 32);
-  };
-  EXPECT_LT(longest_round_s(kStarvingAfterSeconds, add_jobs), kMaxStepSeconds);
+  const Waiting waiting = {{protocol::Rank::kStandard, 32}};
+  EXPECT_LT(longest_round_s(kStarvingAfterSeconds, waiting), kMaxStepSeconds);
 }
 
 TEST(LargeFleetTest, RoundWithManyCriticalJobsIsShort) {
-  const auto add_jobs = [](LargeFleet& fleet) {
-    fleet.add_waiting_jobs(protocol::Rank::kCritical, 4);
-  };
-  EXPECT_LT(longest_round_s(2, add_jobs), kMaxStepSeconds);
+  const Waiting waiting = {{protocol::Rank::kCritical, 4}};
+  EXPECT_LT(longest_round_s(2, waiting), kMaxStepSeconds);
 }
 
 TEST(LargeFleetTest, RoundWithManyCriticalJobsOfDifferentSizesIsShort) {
-  const auto add_jobs = [](LargeFleet& fleet) {
-    fleet.add_waiting_jobs_of_different_sizes(protocol::Rank::kCritical, 4);
-  };
-  EXPECT_LT(longest_round_s(2, add_jobs), kMaxStepSeconds);
+  const Waiting waiting = {{protocol::Rank::kCritical, 4, kTeam, kMemoryStepGb}};
+  EXPECT_LT(longest_round_s(2, waiting), kMaxStepSeconds);
 }
 
 TEST(LargeFleetTest, RoundWithManyGuaranteedJobsIsShort) {
-  const auto add_jobs = [](LargeFleet& fleet) {
-    fleet.add_waiting_jobs(protocol::Rank::kStandard, 4, kGuaranteedTeam);
-  };
-  EXPECT_LT(longest_round_s(2, add_jobs), kMaxStepSeconds);
+  const Waiting waiting = {{protocol::Rank::kStandard, 4, kGuaranteedTeam}};
+  EXPECT_LT(longest_round_s(2, waiting), kMaxStepSeconds);
 }
 
 TEST(LargeFleetTest, RoundWithManyCriticalAndManyOtherJobsIsShort) {
-  const auto add_jobs = [](LargeFleet& fleet) {
-    fleet.add_waiting_jobs(protocol::Rank::kStandard, 1);
-    fleet.add_waiting_jobs(protocol::Rank::kCritical, 4);
-  };
-  EXPECT_LT(longest_round_s(kStarvingAfterSeconds, add_jobs), kMaxStepSeconds);
+  const Waiting waiting = {{protocol::Rank::kStandard, 1}, {protocol::Rank::kCritical, 4}};
+  EXPECT_LT(longest_round_s(kStarvingAfterSeconds, waiting), kMaxStepSeconds);
 }
 
 TEST(LargeFleetTest, RoutingOfManyJobsIsShort) {
   const auto route = [](LargeFleet& fleet) { return fleet.routing_s(kStarvingAfterSeconds); };
-  EXPECT_LT(least_processor_s(add_mixed_jobs, route), kMaxStepSeconds);
+  EXPECT_LT(least_processor_s(kMixedJobs, route), kMaxStepSeconds);
 }
 
 TEST(LargeFleetTest, ScalingPlanForManyJobsIsShort) {
   const auto plan = [](LargeFleet& fleet) { return fleet.scaling_s(kStarvingAfterSeconds); };
-  EXPECT_LT(least_processor_s(add_mixed_jobs, plan), kMaxStepSeconds);
+  EXPECT_LT(least_processor_s(kMixedJobs, plan), kMaxStepSeconds);
 }
 
 }  // namespace saddleslip::coordination
--- a/tests/loopback/agent_swarm.cpp
+++ b/tests/loopback/agent_swarm.cpp
@@ -12,6 +12,7 @@
 #include <stdexcept>
 
 #include "loopback/http_message.h"
+#include "loopback/names.h"
 #include "loopback/socket_address.h"
 #include "loopback/zones.h"
 
@@ -33,7 +34,6 @@
 constexpr int kMaxEvents = 512;
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
-constexpr std::size_t kIdDigits = 6;
 
 AgentSwarm::Time later(AgentSwarm::Time from, double seconds) {
   return from + std::chrono::duration_cast<AgentSwarm::Clock::duration>(
@@ -74,8 +74,7 @@
 
 void AgentSwarm::add_machine(Time now) {
   const std::size_t number = entries_.size();
-  std::string digits = std::to_string(number);
-  const std::string id = "i-" + std::string(kIdDigits - digits.size(), '0') + digits;
+  const std::string id = numbered_name("i-", number);
   auto entry = std::make_unique<Entry>(Entry{Agent(id, zone_of(id), ledger_, now)});
   entry->controller = number % options_.controller_ports.size();
   entry->next_heartbeat_at =
--- a/tests/loopback/user_clients.cpp
+++ b/tests/loopback/user_clients.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "loopback/agent.h"
+#include "loopback/names.h"
 
 namespace saddleslip::testing {
 
@@ -26,13 +27,11 @@
 constexpr int kCreated = 201;
 constexpr double kMaxServiceTasks = 3;
 constexpr double kMinRunSeconds = 1;
-constexpr std::size_t kIdDigits = 6;
 const char* const kJsonType = "application/json";
 const std::string kSubmissions = "/submissions";
 
 std::string job_id(std::uint64_t number) {
-  const std::string digits = std::to_string(number);
-  return "run-" + std::string(kIdDigits - std::min(kIdDigits, digits.size()), '0') + digits;
+  return numbered_name("run-", number);
 }
 
 }  // namespace
--- a/tests/machine_fixture.h
+++ b/tests/machine_fixture.h
@@ -8,6 +8,8 @@
 #include <string>
 
 #include "base/settings.h"
+#include "coordination/machines/machine_registry.h"
+#include "coordination/scheduling/job_priorities.h"
 #include "storage/machine.h"
 #include "storage/state_cache.h"
 
@@ -87,4 +89,29 @@
   std::uint64_t version_ = 0;
 };
 
+// One machine that is filled by four tasks of the idle job kOther, which started one second apart:
+// the task with the highest number started last.
+class FilledMachineFixture : public MachineFixture {
+ protected:
+  FilledMachineFixture() {
+    registry_.install_view({base::FencingToken(10), at(0), true},
+                           [](const base::MachineId&) { return true; });
+    add_job(kOther, protocol::Rank::kIdle);
+    assign(kOther,
+           {{0, assignment(1)}, {1, assignment(2)}, {2, assignment(3)}, {3, assignment(4)}});
+    heartbeat_ = heartbeat(0, 10);
+    for (base::TaskNumber task = 0; task < 4; ++task) {
+      heartbeat_.sequence = base::Sequence(task + 1);
+      report(heartbeat_, {kOther, task}, task + 1, protocol::TaskState::kRunning);
+      registry_.record_heartbeat(heartbeat_, HeartbeatSource::kAgent, at(task));
+    }
+  }
+
+  JobPriorities priorities_{settings_, cache_};
+  AttemptTracker attempts_{cache_};
+  CapacityCalculator capacity_{cache_, priorities_, attempts_};
+  MachineRegistry registry_{settings_, cache_, capacity_};
+  protocol::Heartbeat heartbeat_;  // the machine's last one
+};
+
 }  // namespace saddleslip::coordination
--- a/tests/preemption_planner_test.cpp
+++ b/tests/preemption_planner_test.cpp
@@ -5,27 +5,11 @@
 
 namespace saddleslip::coordination {
 
-using base::FencingToken;
-using base::MachineId;
 using base::TaskId;
 using protocol::Rank;
-using protocol::TaskState;
 
-// One machine that is filled by four tasks of the idle job kOther, which started one second apart.
-class PreemptionPlannerTest : public MachineFixture {
+class PreemptionPlannerTest : public FilledMachineFixture {
  protected:
-  PreemptionPlannerTest() {
-    registry_.install_view({FencingToken(10), at(0), true}, [](const MachineId&) { return true; });
-    add_job(kOther, Rank::kIdle);
-    assign(kOther,
-           {{0, assignment(1)}, {1, assignment(2)}, {2, assignment(3)}, {3, assignment(4)}});
-    auto last_heartbeat = heartbeat(0, 10);
-    for (base::TaskNumber task = 0; task < 4; ++task) {
-      last_heartbeat.sequence = base::Sequence(task + 1);
-      report(last_heartbeat, {kOther, task}, task + 1, TaskState::kRunning);
-      registry_.record_heartbeat(last_heartbeat, HeartbeatSource::kAgent, at(task));
-    }
-  }
   void preempt_for(Rank rank, std::size_t tasks, double seconds = 4) {
     add_job(kJob, rank);
     priorities_.update(at(seconds));
@@ -33,10 +17,6 @@
   }
   const std::set<TaskId>& evicted() { return registry_.at(kMachine).tasks_to_evict; }
 
-  JobPriorities priorities_{settings_, cache_};
-  AttemptTracker attempts_{cache_};
-  CapacityCalculator capacity_{cache_, priorities_, attempts_};
-  MachineRegistry registry_{settings_, cache_, capacity_};
   CapacityReservations reservations_{cache_};
   PreemptionPlanner planner_{settings_, cache_, priorities_, capacity_, registry_, reservations_};
 };
