Log how long a controller's authority lasts and how long it counts others' authority

The logs did not show when a controller that is cut off stops acting, and from when on its successors count its workers' leases. 'controller activity:' has authority_left_s, 'view installed:' has others_authority_s, the TTL that the proof of an expired worker lease uses for the members of earlier views.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -55,8 +55,10 @@
     names +=
         (names.empty() ? "" : ", ") + m.member.get() + "#" + std::to_string(m.incarnation.get());
   }
-  spdlog::info("view installed: view={} members=[{}] this_process={}", cache_.view()->epoch.get(),
-               names, has_member(*cache_.view(), self_) ? "a member" : "not a member");
+  spdlog::info("view installed: view={} members=[{}] this_process={} others_authority_s={:.1f}",
+               cache_.view()->epoch.get(), names,
+               has_member(*cache_.view(), self_) ? "a member" : "not a member",
+               settings_.tuning.member_ttl.count());
 }
 
 std::optional<Transaction> Controller::propose_membership_change(Time now, base::LeaseId lease) {
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -144,6 +144,8 @@
   bool has_authority(Time now) const {
     return authority_.has_authority(now, ownership_.installed_view());
   }
+  // Returns how long this process may act without a further renewal; negative if it may not.
+  Seconds authority_left(Time now) const { return authority_.authority_left(now); }
   // Returns the first fencing token of the installed view.
   FencingToken base_fencing_token() const { return ownership_.base_fencing_token(); }
   // Returns the number of machines that this member owns and has received heartbeats from.
--- a/src/coordination/membership/authority_lease.h
+++ b/src/coordination/membership/authority_lease.h
@@ -48,6 +48,10 @@
   // installed view is the one in the cache, names this incarnation, and was covered by the latest
   // verification. `installed_view` is 0 if no view was installed yet.
   bool has_authority(base::Time now, base::Version installed_view) const;
+  // Returns how long the authority lasts without a further renewal; negative if it has ended.
+  base::Seconds authority_left(base::Time now) const {
+    return base::between(now, authority_valid_until_);
+  }
 
  private:
   base::Time valid_until(base::Time sent_at) const;
--- a/src/daemon/activity_log.cpp
+++ b/src/daemon/activity_log.cpp
@@ -1,5 +1,6 @@
 #include "daemon/activity_log.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <string_view>
@@ -90,6 +91,7 @@
     bool is_leader = false, has_authority = false;
     std::uint64_t view = 0, first_token = 0, revision = 0;
     std::size_t jobs = 0, machines = 0;
+    base::Seconds authority_left{};
   };
   const State state = context_.controller.with_lock([](Controller& controller) {
     const base::Time now = SteadyClock::now();
@@ -97,6 +99,7 @@
     State result;
     result.is_leader = controller.is_leader(now);
     result.has_authority = controller.has_authority(now);
+    result.authority_left = std::max(base::Seconds(0), controller.authority_left(now));
     if (cache.view()) result.view = cache.view()->epoch.get();
     result.first_token = controller.base_fencing_token().get();
     result.revision = cache.revision().get();
@@ -105,13 +108,13 @@
     return result;
   });
   spdlog::info(
-      "controller activity: leader={} authority={} view={} first_token={} revision={} "
-      "last_read_s={:.1f} jobs={} "
-      "machines={} mutex_wait_s={:.3f} waiter={} mutex_hold_s={:.3f} holder={}",
-      state.is_leader, state.has_authority, state.view, state.first_token, state.revision,
-      sources_.replicator.time_since_read().count(), state.jobs, state.machines,
-      mutex.wait.duration.count(), name_of(mutex.wait.caller), mutex.hold.duration.count(),
-      name_of(mutex.hold.caller));
+      "controller activity: leader={} authority={} authority_left_s={:.1f} view={} first_token={} "
+      "revision={} last_read_s={:.1f} jobs={} machines={} mutex_wait_s={:.3f} waiter={} "
+      "mutex_hold_s={:.3f} holder={}",
+      state.is_leader, state.has_authority, state.authority_left.count(), state.view,
+      state.first_token, state.revision, sources_.replicator.time_since_read().count(), state.jobs,
+      state.machines, mutex.wait.duration.count(), name_of(mutex.wait.caller),
+      mutex.hold.duration.count(), name_of(mutex.hold.caller));
 }
 
 }  // namespace saddleslip
