Takeover: count the former owner's authority with its TTL, not with the own one

While a change of member_ttl_s was half done, a zone with a controller was cut off, and tasks of the zone were started elsewhere while they still ran there.

Cause: the proof "the worker lease has certainly expired" starts one TTL after the installation of the view that replaced the owner, which is when that owner's authority has ended. It took the TTL of the new owner. The former owner acts for its own TTL, and nothing made both equal. The same value stood in three places (completions, and twice in the machine registry).

Why this works: each member record states the TTL of its lease (ttl_ms; other versions ignore the field). FormerAuthority keeps the TTLs of the members of the installed view, and when the next view is installed, bounds the authority of all of them by the longest, and never shortens the bound of an earlier view. What is not known counts with the longest TTL that any operators' file may set: a process of the version in production, a record that was deleted before the view was installed, a skipped view, the first view after a start.

The scenario runner has a new command operators_of.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -29,6 +29,10 @@
   return std::min(settings.worker_lease * 0.5, remaining);
 }
 
+Seconds longest_member_ttl(const Settings& settings) {
+  return std::max(kMinMemberTtl, max_member_ttl(settings));
+}
+
 std::optional<std::string> cancellation_time_warning(const Settings& settings) {
   if (settings.tuning.member_ttl <= max_member_ttl(settings)) return {};
   std::ostringstream warning;
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -123,6 +123,9 @@
 Seconds max_member_ttl(const Settings& settings);
 // The minimum time to live of a member's lease.
 inline constexpr Seconds kMinMemberTtl{1.0};
+// Returns the longest time to live that any controller accepts with these settings of the platform,
+// whatever its operators' file says.
+Seconds longest_member_ttl(const Settings& settings);
 
 // Returns a warning of one line if the tasks of a cancelled job may run longer than cancel_s
 // allows, or nothing if they cannot.
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -25,6 +25,7 @@
       priorities_(settings_, cache_),
       authority_(settings_, cache_),
       ownership_(cache_, authority_),
+      former_authority_(settings_),
       leadership_(cache_, authority_),
       proposals_({settings_, cache_, authority_, leadership_, peer_contact_}),
       contact_monitor_(pauses_),
@@ -44,7 +45,8 @@
   if (!installation) return;
   const FencingToken base = installation->base_fencing_token;
   const bool follows_previous = installation->follows_previous;
-  machines_.install_view({base, now, follows_previous},
+  former_authority_.record_view(*cache_.view(), cache_.members(), follows_previous, now);
+  machines_.install_view({base, former_authority_.ends_at(), follows_previous},
                          [this](const MachineId& id) { return owns(id); });
   std::erase_if(owned_since_, [&](const auto& m) { return !follows_previous || !owns(m.first); });
   attempts_.forget_never_started();
@@ -58,7 +60,7 @@
   spdlog::info("view installed: view={} members=[{}] this_process={} others_authority_s={:.1f}",
                cache_.view()->epoch.get(), names,
                has_member(*cache_.view(), self_) ? "a member" : "not a member",
-               settings_.tuning.member_ttl.count());
+               base::between(now, former_authority_.ends_at()).count());
 }
 
 std::optional<Transaction> Controller::propose_membership_change(Time now, base::LeaseId lease) {
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -18,6 +18,7 @@
 #include "coordination/machines/machine_registry.h"
 #include "coordination/machines/peer_registry.h"
 #include "coordination/membership/authority_lease.h"
+#include "coordination/membership/former_authority.h"
 #include "coordination/membership/leadership.h"
 #include "coordination/membership/membership_proposals.h"
 #include "coordination/membership/ownership.h"
@@ -426,6 +427,7 @@
   PeerRegistry peers_;
   AuthorityLease authority_;
   Ownership ownership_;
+  FormerAuthority former_authority_;
   PeerContact peer_contact_;
   Leadership leadership_;
   MembershipProposals proposals_;
@@ -446,8 +448,8 @@
   CapacityReservations reservations_{cache_};
   PreemptionPlanner preemption_{settings_, cache_,    priorities_,
                                 capacity_, machines_, reservations_};
-  // Since when this member has owned a machine. Bounds the lease of machines that have sent no
-  // heartbeat: an earlier owner may have renewed it until then, and for one more member TTL.
+  // Since when this member has owned a machine with recorded assignments. The silence of machines
+  // that have sent no heartbeat counts from then on.
   std::map<MachineId, Time> owned_since_;
   // Silent machines of this member whose release is requested; a release proves that their tasks
   // ended.
--- a/src/coordination/machines/machine_registry.cpp
+++ b/src/coordination/machines/machine_registry.cpp
@@ -55,9 +55,8 @@
     status_revisions_.record_departure(entry.first);
     return true;
   });
-  const Time others_answered_until = base::after(view.installed_at, settings_.tuning.member_ttl);
   for (auto& [id, machine] : machines_) {
-    machine.continue_fencing(view.first_token, view.follows_previous, others_answered_until);
+    machine.continue_fencing(view.first_token, view.follows_previous, view.others_act_until);
   }
 }
 
@@ -103,7 +102,7 @@
   Machine& machine = machines_[heartbeat.machine];
   machine.idle_since = now;
   machine.start_fencing(view_.first_token);
-  machine.last_answered_at = base::after(view_.installed_at, settings_.tuning.member_ttl);
+  machine.last_answered_at = view_.others_act_until;
   spdlog::info("machine joined: machine={} type={} zone={}{} agent_incarnation={} tasks={}",
                heartbeat.machine.get(), heartbeat.type, heartbeat.zone,
                heartbeat.spot ? " spot" : "", heartbeat.agent_incarnation.get(),
--- a/src/coordination/machines/machine_registry.h
+++ b/src/coordination/machines/machine_registry.h
@@ -25,7 +25,7 @@
 // The installed view, as far as the fencing of machines depends on it.
 struct InstalledView {
   base::FencingToken first_token;
-  base::Time installed_at{};
+  base::Time others_act_until{};  // when the owners under earlier views have ceased to act
   bool follows_previous = false;  // no view was skipped since the one installed before
 };
 
--- a/src/coordination/membership/membership_proposals.cpp
+++ b/src/coordination/membership/membership_proposals.cpp
@@ -13,7 +13,8 @@
   Transaction transaction;
   // A write that is applied late must not replace the record of a later incarnation.
   require_unchanged(key, transaction);
-  const protocol::Member record{inputs_.authority.self(), reaches_others, protocol::kFormat};
+  const protocol::Member record{inputs_.authority.self(), reaches_others, protocol::kFormat,
+                                inputs_.settings.tuning.member_ttl};
   transaction.writes.push_back({key, to_json(record), lease});
   return transaction;
 }
--- a/src/coordination/scheduling/completions.cpp
+++ b/src/coordination/scheduling/completions.cpp
@@ -32,7 +32,7 @@
   }
   const Seconds lease = settings_.worker_lease * (1.0 + base::kDrift) + kLeaseMargin;
   const Time owned_since = owned_since_.try_emplace(id, now).first->second;
-  Time last_response_at = base::after(owned_since, settings_.tuning.member_ttl);
+  Time last_response_at = std::max(owned_since, former_authority_.ends_at());
   if (machine) last_response_at = std::max(last_response_at, machine->last_answered_at);
   const bool lease_expired = now > base::after(last_response_at, lease);
   std::set<TaskId> reported;
--- a/src/protocol/member_records.cpp
+++ b/src/protocol/member_records.cpp
@@ -1,5 +1,7 @@
 #include "protocol/member_records.h"
 
+#include <cmath>
+
 namespace saddleslip::protocol {
 
 namespace {
@@ -8,10 +10,15 @@
 constexpr const char* kIncarnation = "life";
 constexpr const char* kReachesOthers = "reaches";
 constexpr const char* kFormatField = "format";
+constexpr const char* kLeaseTtlMs = "ttl_ms";
 constexpr const char* kEpoch = "epoch";
 constexpr const char* kMembersField = "members";
 constexpr const char* kOverrides = "pins";  // object: member id -> array of machine ids
 
+constexpr double kMillisecondsPerSecond = 1000;
+// The state service grants no longer lease.
+constexpr std::uint64_t kMaxLeaseTtlMs = 600'000;
+
 // Returns whether the field `field` of the JSON object `object` is an array.
 bool has_array(const Json& object, const char* field) {
   return object.contains(field) && object.at(field).is_array();
@@ -43,9 +50,14 @@
 }
 
 Json to_json(const Member& member) {
-  return Json{{kIncarnation, to_json(member.incarnation)},
-              {kReachesOthers, member.reaches_others},
-              {kFormatField, member.format}};
+  Json json = {{kIncarnation, to_json(member.incarnation)},
+               {kReachesOthers, member.reaches_others},
+               {kFormatField, member.format}};
+  if (member.lease_ttl) {
+    json[kLeaseTtlMs] =
+        static_cast<std::uint64_t>(std::ceil(member.lease_ttl->count() * kMillisecondsPerSecond));
+  }
+  return json;
 }
 
 std::optional<Member> parse_member(const Json& value) {
@@ -59,6 +71,12 @@
   if (format != value.end() && format->is_number_unsigned()) {
     member.format = format->get<std::uint64_t>();
   }
+  const auto ttl = value.find(kLeaseTtlMs);
+  if (ttl != value.end() && ttl->is_number_unsigned() &&
+      ttl->get<std::uint64_t>() <= kMaxLeaseTtlMs) {
+    member.lease_ttl =
+        base::Seconds(static_cast<double>(ttl->get<std::uint64_t>()) / kMillisecondsPerSecond);
+  }
   return member;
 }
 
--- a/src/protocol/member_records.h
+++ b/src/protocol/member_records.h
@@ -29,6 +29,8 @@
   ControllerIncarnation incarnation;
   bool reaches_others = false;  // it can reach at least one other member
   std::uint64_t format = 1;     // the latest format of stored records that it can read
+  // The time to live of its lease, after which its authority ends. Not stated by earlier versions.
+  std::optional<base::Seconds> lease_ttl{};
 };
 
 Json to_json(const Member& member);
--- a/tests/membership_proposals_test.cpp
+++ b/tests/membership_proposals_test.cpp
@@ -66,6 +66,26 @@
   MembershipProposals proposals_{{settings_, cache_, authority_, leadership_, contact_}};
 };
 
+// Its successors count its authority with this TTL, not with their own.
+TEST_F(MembershipProposalsTest, MemberRecordStatesTheTtlOfTheLease) {
+  settings_.tuning.member_ttl = base::Seconds(2.5);
+  const auto transaction = proposals_.member_record(lease_, false);
+  ASSERT_EQ(1u, transaction.writes.size());
+  const auto record = protocol::parse_member(*transaction.writes.front().value);
+  ASSERT_TRUE(record);
+  EXPECT_EQ(base::Seconds(2.5), record->lease_ttl);
+}
+
+TEST(MemberRecord, TtlThatNoLeaseCanHaveIsIgnored) {
+  protocol::Json json = to_json(protocol::Member{{MemberId("n0"), base::Incarnation(7)}, true});
+  EXPECT_FALSE(protocol::parse_member(json)->lease_ttl);
+  for (const char* ttl : {"600001", "-1", "18446744073709551615", "1.5", "\"9\"", "null"}) {
+    json["ttl_ms"] = protocol::Json::parse(ttl);
+    ASSERT_TRUE(protocol::parse_member(json)) << ttl;
+    EXPECT_FALSE(protocol::parse_member(json)->lease_ttl) << ttl;
+  }
+}
+
 TEST_F(MembershipProposalsTest, NothingIsProposedWithoutALease) {
   EXPECT_EQ("", proposed_key(200));
   authority_.end_incarnation();
--- a/tests/simulation/cluster_commands.cpp
+++ b/tests/simulation/cluster_commands.cpp
@@ -23,6 +23,12 @@
   cluster.config.operator_settings += setting.substr(1) + "\n";
 }
 
+void play_operators_of(SimulatedCluster& cluster, CommandLine& line) {
+  const std::size_t controller = line.next_controller();
+  const std::string setting = line.remaining_text();
+  cluster.config.operator_settings_of[controller] += setting.substr(1) + "\n";
+}
+
 ClusterConfig::StateLimits read_limits(CommandLine& line) {
   ClusterConfig::StateLimits limits;
   limits.max_value_bytes = line.next_count();
@@ -70,6 +76,9 @@
      "adds a team with its quota; must precede controllers", play_team},
     {"operators", "SETTING: VALUE",
      "adds a line to the operators' settings; must precede controllers", play_operators},
+    {"operators_of", "CONTROLLER SETTING: VALUE",
+     "adds a line to one controller's operators' settings, which it reads when it starts",
+     play_operators_of},
     {"state_limits", "VALUE_BYTES WRITES",
      "sets the state service's limits per value and per transaction; must precede controllers",
      play_state_limits},
--- a/tests/simulation/cluster_config.cpp
+++ b/tests/simulation/cluster_config.cpp
@@ -50,6 +50,8 @@
     json["settings"]["state"]["next"] = state_section(*next_state_limits);
   base::Settings settings = base::parse_settings(json.dump());
   base::apply_tuning(settings, operator_settings);
+  const auto own = operator_settings_of.find(controller);
+  if (own != operator_settings_of.end()) base::apply_tuning(settings, own->second);
   return settings;
 }
 
--- a/tests/simulation/cluster_config.h
+++ b/tests/simulation/cluster_config.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,6 +31,9 @@
   double cancel_s = 30;  // deadline for tasks to end after their job's cancellation is confirmed
   std::vector<TeamQuota> teams = {{"t", 0, 0}};
   std::string operator_settings;  // the operators' settings file, in YAML
+  // Lines in the file of single controllers, by index. They override `operator_settings`, as while
+  // a change of the settings is half done.
+  std::map<std::size_t, std::string> operator_settings_of;
   std::optional<StateLimits> state_limits;
   // Limits that the state service will get later. If they are set, the controllers start as the
   // previous version, which has no setting for them; the `upgrade` command replaces that version.
