Ownership claims: wait for the owner's TTL, not for the own one

A controller to which a machine keeps coming back claims it from an owner that it can't hear once that owner would have left the view had it ended: one TTL and 1 s after the first redirection. It took its own TTL. With 1 s here and 11 s there, a machine was moved after 2 s from an owner that only paused, which costs a view and the fencing of all commands; the other way round it waited for 12 s with an owner that was gone after 1 s.

Test: OwnershipClaimsTest.UnreachableOwnerIsGivenTheTtlThatItStates; with the own TTL it fails (claimed after 9.9 s of 10).

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -29,7 +29,7 @@
       leadership_(cache_, authority_),
       proposals_({settings_, cache_, authority_, leadership_, peer_contact_}),
       contact_monitor_(pauses_),
-      ownership_claims_(settings_, ownership_, peers_),
+      ownership_claims_(settings_, ownership_, former_authority_, peers_),
       transfers_({settings_, cache_, authority_, ownership_, peers_}),
       autoscaler_(settings_, cache_, priorities_) {}
 
--- a/src/coordination/membership/former_authority.cpp
+++ b/src/coordination/membership/former_authority.cpp
@@ -19,6 +19,13 @@
   }
 }
 
+std::optional<base::Seconds> FormerAuthority::stated_ttl(
+    const protocol::ControllerIncarnation& member) const {
+  const auto ttl = stated_ttls_.find(member);
+  if (ttl == stated_ttls_.end()) return {};
+  return ttl->second;
+}
+
 base::Seconds FormerAuthority::longest_ttl() const {
   if (stated_ttls_.size() < member_count_) return base::longest_member_ttl(settings_);
   base::Seconds longest{0};
--- a/src/coordination/membership/former_authority.h
+++ b/src/coordination/membership/former_authority.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "base/settings.h"
 #include "protocol/records.h"
@@ -29,6 +30,8 @@
 
   // Returns when the authority under earlier views has certainly ended. The time may have passed.
   base::Time ends_at() const { return ends_at_; }
+  // Returns the time to live that a member of the installed view has stated; none if it is unknown.
+  std::optional<base::Seconds> stated_ttl(const protocol::ControllerIncarnation& member) const;
 
  private:
   // Returns the longest time to live of the members of the installed view.
--- a/src/coordination/membership/ownership_claims.cpp
+++ b/src/coordination/membership/ownership_claims.cpp
@@ -8,7 +8,7 @@
 // Time from the first redirection to the claim if the owner's status is recent and shows that the
 // owner receives no heartbeats from the machine.
 constexpr base::Seconds kClaimDelay{3.0};
-// Time beyond the member TTL from the first redirection to the claim if the owner's status is not
+// Time beyond the owner's TTL from the first redirection to the claim if the owner's status is not
 // recent. An owner that had ended would have left the view by then.
 constexpr base::Seconds kClaimDelayAfterTtl{1.0};
 constexpr base::Seconds kMinRedirectionSpan{2.0};
@@ -75,8 +75,12 @@
     return since_first > kClaimDelay && misses_heartbeats(*status, machine);
   }
   const base::Time span_end = base::after(redirections.first_at, kMinRedirectionSpan);
-  return redirections.last_at > span_end &&
-         since_first > settings_.tuning.member_ttl + kClaimDelayAfterTtl;
+  return redirections.last_at > span_end && since_first > ttl_of(*owner) + kClaimDelayAfterTtl;
+}
+
+// An owner whose TTL is unknown most likely has the same as this controller.
+base::Seconds OwnershipClaims::ttl_of(const protocol::ControllerIncarnation& owner) const {
+  return former_authority_.stated_ttl(owner).value_or(settings_.tuning.member_ttl);
 }
 
 // Returns whether an override has moved the machine recently. A machine that receives no responses
--- a/src/coordination/membership/ownership_claims.h
+++ b/src/coordination/membership/ownership_claims.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "coordination/machines/peer_registry.h"
+#include "coordination/membership/former_authority.h"
 #include "coordination/membership/ownership.h"
 
 namespace saddleslip::coordination {
@@ -25,8 +26,11 @@
  public:
   // All arguments must outlive this object.
   OwnershipClaims(const base::Settings& settings, const Ownership& ownership,
-                  const PeerRegistry& peers)
-      : settings_(settings), ownership_(ownership), peers_(peers) {}
+                  const FormerAuthority& former_authority, const PeerRegistry& peers)
+      : settings_(settings),
+        ownership_(ownership),
+        former_authority_(former_authority),
+        peers_(peers) {}
 
   // Records that the machine sent a heartbeat here and was redirected to its owner.
   void record_redirection(const base::MachineId& machine,
@@ -49,11 +53,14 @@
   bool should_claim(const base::MachineId& machine, const Redirections& redirections,
                     base::Time now) const;
   bool was_recently_moved(const base::MachineId& machine, base::Time now) const;
+  // Returns the time to live of the owner's lease.
+  base::Seconds ttl_of(const protocol::ControllerIncarnation& owner) const;
   // Returns the owner's latest status if it is recent, otherwise null.
   const Peer* recent_status(const protocol::ControllerIncarnation& owner, base::Time now) const;
 
   const base::Settings& settings_;
   const Ownership& ownership_;
+  const FormerAuthority& former_authority_;
   const PeerRegistry& peers_;
   std::map<base::MachineId, Redirections> redirections_;
 };
--- a/tests/ownership_claims_test.cpp
+++ b/tests/ownership_claims_test.cpp
@@ -43,7 +43,8 @@
   AuthorityLease authority_{settings_, cache_};
   Ownership ownership_{cache_, authority_};
   PeerRegistry peers_;
-  OwnershipClaims claims_{settings_, ownership_, peers_};
+  FormerAuthority former_authority_{settings_};
+  OwnershipClaims claims_{settings_, ownership_, former_authority_, peers_};
 };
 
 TEST_F(OwnershipClaimsTest, MachineWhoseHeartbeatIsLateAtItsOwnerIsClaimed) {
@@ -70,6 +71,18 @@
   EXPECT_TRUE(is_claimed(ttl + 1.1));
 }
 
+// Guards against claims to machines of an owner that still has its authority: the own TTL is 5 s.
+TEST_F(OwnershipClaimsTest, UnreachableOwnerIsGivenTheTtlThatItStates) {
+  protocol::Member record;
+  record.incarnation = other_;
+  record.lease_ttl = base::Seconds(9);
+  former_authority_.record_view(*cache_.view(), {{other_.member, record}}, true, start_);
+  redirect(0);
+  redirect(9);
+  EXPECT_FALSE(is_claimed(9.9));
+  EXPECT_TRUE(is_claimed(10.1));
+}
+
 TEST_F(OwnershipClaimsTest, RedirectionToAnEarlierIncarnationIsIgnored) {
   const ControllerIncarnation earlier{other_.member, base::Incarnation(5)};
   claims_.record_redirection(machine_, earlier, at(0));
