Peers: a status at least every 0.7 s, however rare the scheduling rounds are

What operators saw: with round_period_s: 10, which the settings allow, the view changed every one to five seconds without any fault. Each view fences all commands, and the members took turns in being left out.

Status messages were sent every 0.7 rounds of the sender, while the leader and the peers judge them by constants that suit the default of 1 s: a member that was not reached for 4 s is excluded, a status older than 2.5 s no longer counts.

Why this works: the period is the smaller of 0.7 rounds and 0.7 s, the value that the default gives; shorter periods stay as they were.

Test: PeerSync.StatusPeriodIsBoundedWhateverTheRoundPeriod; without the bound it fails (for 4 s: two periods are 5.6 s, 2.5 s and 4 s are allowed).

--- a/src/daemon/peer_sync.cpp
+++ b/src/daemon/peer_sync.cpp
@@ -1,5 +1,7 @@
 #include "daemon/peer_sync.h"
 
+#include <algorithm>
+
 #include "daemon/timeouts.h"
 #include "protocol/paths.h"
 
@@ -15,6 +17,7 @@
 namespace {
 
 constexpr double kStatusPeriodShare = 0.7;  // of the scheduling rounds' period
+constexpr Seconds kMaxStatusPeriod{0.7};
 constexpr Seconds kPeerTimeout{1.0};
 constexpr std::size_t kMaxConnections = 2;
 constexpr std::size_t kMaxUnsentOffers = 64;
@@ -22,6 +25,10 @@
 
 }  // namespace
 
+Seconds status_period(Seconds round_period) {
+  return std::min(round_period * kStatusPeriodShare, kMaxStatusPeriod);
+}
+
 PeerSync::PeerSync(const DaemonContext& context, const base::Peer& peer)
     : context_(context), member_(peer.member), http_(peer.address, kMaxConnections) {}
 
@@ -43,7 +50,7 @@
 }
 
 void PeerSync::run(const std::stop_token& stop) {
-  const Seconds period = context_.settings.tuning.round_period * kStatusPeriodShare;
+  const Seconds period = status_period(context_.settings.tuning.round_period);
   while (!stop.stop_requested()) {
     wakeup_.wait_for(period, stop);
     if (stop.stop_requested()) return;
--- a/src/daemon/peer_sync.h
+++ b/src/daemon/peer_sync.h
@@ -13,6 +13,10 @@
 
 namespace saddleslip {
 
+// Returns the time between two status messages to a peer. It is bounded however rare the scheduling
+// rounds are, since the peer judges by the age of the last message whether this controller runs.
+base::Seconds status_period(base::Seconds round_period);
+
 // Posts the status periodically, and offers and cancellations immediately. Delivery is best effort:
 // tasks of a cancelled job end in time even if no message arrives, because the peer's authority and
 // the workers' leases expire. run() needs a thread of its own; the other functions may be called
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -10,6 +10,9 @@
 #include <vector>
 
 #include "base/log.h"
+#include "coordination/membership/ownership_claims.h"
+#include "coordination/membership/peer_contact.h"
+#include "daemon/peer_sync.h"
 #include "daemon/read_barrier.h"
 #include "daemon/wakeup_event.h"
 #include "daemon/write_rate_limiter.h"
@@ -40,6 +43,17 @@
   sleep_for(kOneHour, stop.get_token());
 }
 
+// Guards against views that change every few seconds without a fault: with rare rounds, the leader
+// called its peers less often than it needs to count them as reachable.
+TEST(PeerSync, StatusPeriodIsBoundedWhateverTheRoundPeriod) {
+  for (const double round_period_s : {0.05, 1.0, 4.0, 10.0, 60.0}) {
+    const Seconds period = status_period(Seconds(round_period_s));
+    EXPECT_LE(period, Seconds(round_period_s));
+    EXPECT_LT(period * 2.0, coordination::kPeerStatusMaxAge) << round_period_s;
+    EXPECT_LT(period * 2.0, coordination::kPeerContactTimeout) << round_period_s;
+  }
+}
+
 // A rate limiter at 10 writes per second.
 class WriteRateLimiterTest : public ::testing::Test {
  protected:
