Soak: operators' settings that differ between controllers, and zones that are cut off

--mixed-settings draws member_ttl_s, round_period_s and record_within_s of each controller anew at each of its starts, and puts links between the controllers. A new fault, zone_cut, cuts a controller and the machines of its zone off from the others and from the state service.

--- a/tests/loopback/agent_swarm.cpp
+++ b/tests/loopback/agent_swarm.cpp
@@ -76,6 +76,7 @@
   const std::size_t number = entries_.size();
   const std::string id = numbered_name("i-", number);
   auto entry = std::make_unique<Entry>(Entry{Agent(id, zone_of(id), ledger_, now)});
+  entry->zone = zone_of(id);
   entry->controller = number % options_.controller_ports.size();
   entry->next_heartbeat_at =
       later(now, std::uniform_real_distribution<>(0, options_.heartbeat_interval_s)(random_));
@@ -158,8 +159,22 @@
   message_faults_ = faults;
 }
 
-bool AgentSwarm::is_cut(std::size_t controller, Time now) const {
-  return now < cut_until_[controller];
+void AgentSwarm::set_zone_cut(std::size_t controller, bool is_cut) {
+  const std::lock_guard lock(mutex_);
+  if (is_cut) {
+    controllers_of_cut_zones_.insert(controller);
+  } else {
+    controllers_of_cut_zones_.erase(controller);
+  }
+}
+
+bool AgentSwarm::is_cut(const Entry& entry, Time now) const {
+  if (now < cut_until_[entry.controller]) return true;
+  return std::any_of(controllers_of_cut_zones_.begin(), controllers_of_cut_zones_.end(),
+                     [&](std::size_t controller) {
+                       return (entry.zone == zone_by_number(controller)) !=
+                              (entry.controller == controller);
+                     });
 }
 
 std::map<int, std::uint64_t> AgentSwarm::response_counts() const {
@@ -210,7 +225,7 @@
   const double jitter = std::uniform_real_distribution<>(-kHeartbeatIntervalJitter,
                                                          kHeartbeatIntervalJitter)(random_);
   entry.next_heartbeat_at = later(now, options_.heartbeat_interval_s * (1 + jitter));
-  if (is_cut(entry.controller, now)) {
+  if (is_cut(entry, now)) {
     // The request hangs, and so does a new connection.
     entry.is_waiting = true;
     return;
@@ -359,8 +374,7 @@
       continue;
     }
     if (message->closes_connection || kind == SocketKind::kLateCopy) close_socket(socket);
-    if (kind == SocketKind::kLateCopy || now < entry.deaf_until || is_cut(entry.controller, now))
-      continue;
+    if (kind == SocketKind::kLateCopy || now < entry.deaf_until || is_cut(entry, now)) continue;
     handle_heartbeat_response(entry, message->status(), message->body, now);
   }
 }
--- a/tests/loopback/agent_swarm.h
+++ b/tests/loopback/agent_swarm.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -63,6 +64,9 @@
   void make_deaf(std::size_t count, double seconds);
   // All agents lose their connection to one controller, and cannot open one, for a time.
   void cut_from_controller(std::size_t controller, double seconds);
+  // The machines in the controller's zone reach no other controller, and the other machines do not
+  // reach this one, or all of them do again. Direct commands still arrive.
+  void set_zone_cut(std::size_t controller, bool is_cut);
   void set_message_faults(const MessageFaults& faults);
 
   // Returns the number of heartbeats by the status of their response; 0 stands for no response.
@@ -80,6 +84,7 @@
     Time sent_at{}, next_heartbeat_at{}, next_due_at{};
     Time hung_until{}, deaf_until{};
     std::uint64_t sent_incarnation = 0;
+    std::string zone{};
     bool is_released = false;
     bool has_changed = false;
   };
@@ -112,7 +117,8 @@
   void send(int socket, const std::string& bytes);
   void flush(int socket);
   void close_socket(int socket);
-  bool is_cut(std::size_t controller, Time now) const;
+  // Returns whether the machine does not reach the controller that it uses.
+  bool is_cut(const Entry& entry, Time now) const;
   std::vector<Entry*> pick_machines(std::size_t count);
 
   const Options options_;
@@ -124,6 +130,7 @@
   std::unordered_map<int, Socket> sockets_;
   std::vector<LateMessage> late_heartbeats_, late_commands_;
   std::vector<Time> cut_until_;
+  std::set<std::size_t> controllers_of_cut_zones_;
   std::map<std::string, std::vector<std::string>> rentals_;
   MessageFaults message_faults_;
   std::map<int, std::uint64_t> response_counts_;
--- a/tests/loopback/controller_processes.cpp
+++ b/tests/loopback/controller_processes.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
+#include <random>
 
 #include "loopback/socket_address.h"
 #include "loopback/zones.h"
@@ -22,6 +23,14 @@
 
 constexpr std::chrono::milliseconds kLimiterPeriod{50};
 
+// Half of the controllers get the shortest TTL and the others a long one, since the difference
+// matters. The ranges from which the operators' settings of a controller are drawn.
+constexpr double kShortestTtlShare = 0.5;  // of the controllers have the shortest TTL
+constexpr double kMinTtlSeconds = 1;
+constexpr double kMinRoundSeconds = 0.2;
+constexpr double kMaxRoundSeconds = 10;
+constexpr double kMaxRecordWithinSeconds = 20;
+
 // The range of the controllers' ports. It is below the range from which the system takes the ports
 // of outgoing connections, which could otherwise occupy the port of a controller that is down.
 constexpr int kFirstPort = 12'000;
@@ -68,6 +77,11 @@
 
 ControllerProcesses::ControllerProcesses(Options options) : options_(std::move(options)) {
   processes_ = std::vector<Process>(options_.state_ports.size());
+  if (options_.settings_seed) {
+    std::vector<int> peer_ports;
+    for (const Process& process : processes_) peer_ports.push_back(process.peer_port.number());
+    links_ = std::make_unique<PeerLinks>(std::move(peer_ports));
+  }
   if (options_.processor_share < 1) limiter_ = std::thread([this] { limit_processor_time(); });
 }
 
@@ -99,7 +113,8 @@
     if (i == controller) continue;
     siblings.push_back({{"member", member_name(i)},
                         {"area", zone_by_number(i)},
-                        {"address", loopback(processes_[i].peer_port.number())}});
+                        {"address", loopback(links_ ? links_->port(controller, i)
+                                                    : processes_[i].peer_port.number())}});
   }
   const Json root = {
       {"member", member_name(controller)},
@@ -115,14 +130,38 @@
   return path;
 }
 
+std::string ControllerProcesses::write_operator_settings(std::size_t controller) const {
+  std::string path = options_.folder + "/" + member_name(controller) + ".yaml";
+  std::ofstream file(path);
+  // Machines stay when they are idle.
+  file << "idle_return_s: 3600\n";
+  if (!options_.settings_seed) return path;
+  std::seed_seq seed{*options_.settings_seed, static_cast<std::uint64_t>(controller),
+                     processes_[controller].starts};
+  std::mt19937_64 random(seed);
+  const auto draw = [&](double min, double max) {
+    return std::uniform_real_distribution<>(min, max)(random);
+  };
+  const bool is_short = draw(0, 1) < kShortestTtlShare;
+  file << "member_ttl_s: "
+       << (is_short ? kMinTtlSeconds
+                    : draw(options_.max_member_ttl_s / 2, options_.max_member_ttl_s))
+       << "\nround_period_s: " << draw(kMinRoundSeconds, kMaxRoundSeconds)
+       << "\nrecord_within_s: " << draw(0, kMaxRecordWithinSeconds) << "\n";
+  return path;
+}
+
+void ControllerProcesses::set_isolated(std::size_t controller, bool is_isolated) {
+  if (links_) links_->set_isolated(controller, is_isolated);
+}
+
 void ControllerProcesses::start(std::size_t controller) {
   const std::lock_guard lock(mutex_);
   Process& process = processes_.at(controller);
   if (process.pid != 0) return;
   const std::string settings = write_settings(controller);
-  const std::string operators = options_.folder + "/operators.yaml";
-  // Machines stay when they are idle.
-  std::ofstream(operators) << "idle_return_s: 3600\n";
+  const std::string operators = write_operator_settings(controller);
+  ++process.starts;
   const std::string log = options_.folder + "/" + member_name(controller) + ".log";
   const pid_t pid = ::fork();
   if (pid == 0) {
--- a/tests/loopback/controller_processes.h
+++ b/tests/loopback/controller_processes.h
@@ -5,12 +5,17 @@
 
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "loopback/peer_links.h"
+
 namespace saddleslip::testing {
 
 // A TCP port of the loopback address that no other cluster on this machine uses. A controller that
@@ -44,6 +49,10 @@
     // The field `settings` of the platform's file.
     nlohmann::json settings;
     double memory_mb = 158;
+    // Draws the operators' settings of each controller anew at each start, and puts links between
+    // the controllers that set_isolated() can hold up; none: the same settings for all, no links.
+    std::optional<std::uint64_t> settings_seed;
+    double max_member_ttl_s = 1;   // the longest that is drawn
     std::vector<int> state_ports;  // of the state service, for each controller
   };
   explicit ControllerProcesses(Options options);
@@ -66,6 +75,9 @@
   // Stops a process from executing until resume() is called.
   void pause(std::size_t controller);
   void resume(std::size_t controller);
+  // Holds up all messages between the controller and its peers, or delivers them again. Requires
+  // Options::settings_seed.
+  void set_isolated(std::size_t controller, bool is_isolated);
   // Returns the largest resident memory that the process has had, or 0 if it is not running.
   std::size_t peak_memory_bytes(std::size_t controller);
   // Returns a line for each process that has ended although kill() was not called for it, and for
@@ -77,6 +89,7 @@
     ReservedPort port, peer_port;
     pid_t pid = 0;  // 0: not running
     bool is_paused = false;
+    std::uint64_t starts = 0;
   };
 
   // Adds a line if the process has ended by itself. Returns whether it has.
@@ -85,6 +98,8 @@
   void check_memory(std::size_t controller);
   static std::size_t peak_memory_of(pid_t pid);
   std::string write_settings(std::size_t controller) const;
+  // Writes the operators' file of the controller and returns its path.
+  std::string write_operator_settings(std::size_t controller) const;
   // Stops and continues the processes so that each gets its share of a core.
   void limit_processor_time();
 
@@ -93,6 +108,7 @@
   std::mutex mutex_;  // guards the members below
   std::vector<Process> processes_;
   std::vector<std::string> unexpected_ends_;
+  std::unique_ptr<PeerLinks> links_;  // none without Options::settings_seed
   std::atomic<bool> is_stopping_{false};
   std::thread limiter_;
 };
--- a/tests/loopback/fault_plan.cpp
+++ b/tests/loopback/fault_plan.cpp
@@ -20,7 +20,7 @@
 constexpr std::array<const char*, kKinds> kNames = {
     "kill",         "pause",         "state_refuses_one", "state_outage", "state_slow",
     "lost_answers", "late_writes",   "agents_cut",        "hang",         "deaf",
-    "late_reports", "late_commands", "kill_all"};
+    "late_reports", "late_commands", "kill_all",          "zone_cut"};
 
 // The longest time between the beginnings of two faults. Since faults last longer, they overlap.
 constexpr double kMaxGapSeconds = 6.0;
@@ -97,6 +97,10 @@
       return cluster.agents().set_message_faults({kLateMessageShare, 0});
     case FaultKind::kLateCommands:
       return cluster.agents().set_message_faults({0, kFaultyMessageShare});
+    case FaultKind::kZoneCut:
+      cluster.controllers().set_isolated(fault.controller, true);
+      cluster.agents().set_zone_cut(fault.controller, true);
+      return state.change(fault.controller, [](StateFaults& f) { f.is_refusing = true; });
     case FaultKind::kCount:
       return;
   }
@@ -125,6 +129,10 @@
     case FaultKind::kLateHeartbeats:
     case FaultKind::kLateCommands:
       return cluster.agents().set_message_faults({});
+    case FaultKind::kZoneCut:
+      cluster.controllers().set_isolated(fault.controller, false);
+      cluster.agents().set_zone_cut(fault.controller, false);
+      return state.change(fault.controller, [](StateFaults& f) { f.is_refusing = false; });
     case FaultKind::kAgentsCutFromOne:
     case FaultKind::kMachinesHang:
     case FaultKind::kMachinesDeaf:
@@ -143,7 +151,10 @@
   return line.str();
 }
 
-std::vector<Fault> make_fault_plan(std::uint64_t seed, double seconds, std::size_t controllers) {
+std::vector<Fault> make_fault_plan(std::uint64_t seed, double seconds, std::size_t controllers,
+                                   ZoneCuts zone_cuts) {
+  const std::size_t kinds =
+      zone_cuts == ZoneCuts::kSome ? kKinds : static_cast<std::size_t>(FaultKind::kZoneCut);
   std::mt19937_64 random(seed);
   const auto draw = [&](double min, double max) {
     return std::uniform_real_distribution<>(min, max)(random);
@@ -155,7 +166,7 @@
   };
   for (double at_s = draw(0, kMaxGapSeconds); at_s < seconds; at_s += draw(0, kMaxGapSeconds)) {
     const auto kind =
-        static_cast<FaultKind>(std::uniform_int_distribution<std::size_t>(0, kKinds - 1)(random));
+        static_cast<FaultKind>(std::uniform_int_distribution<std::size_t>(0, kinds - 1)(random));
     const auto controller = std::uniform_int_distribution<std::size_t>(0, controllers - 1)(random);
     const bool is_kill = kind == FaultKind::kKill || kind == FaultKind::kKillAll;
     const bool is_quick = is_kill && draw(0, 1) < kQuickRestartShare;
@@ -215,6 +226,8 @@
   state.change_all([](StateFaults& faults) { faults = {}; });
   cluster.agents().set_message_faults({});
   for (std::size_t i = 0; i < cluster.controllers().count(); ++i) {
+    cluster.controllers().set_isolated(i, false);
+    cluster.agents().set_zone_cut(i, false);
     cluster.controllers().resume(i);
     cluster.controllers().start(i);
   }
--- a/tests/loopback/fault_plan.h
+++ b/tests/loopback/fault_plan.h
@@ -26,6 +26,7 @@
   kLateHeartbeats,    // copies of heartbeats arrive late
   kLateCommands,      // direct commands are executed late
   kKillAll,           // all processes end and are started again
+  kZoneCut,           // one controller and the machines of its zone reach nothing else
   kCount,             // the number of kinds
 };
 
@@ -39,8 +40,12 @@
   std::string text() const;
 };
 
+// Whether a plan may cut off zones, which needs links between the controllers.
+enum class ZoneCuts { kNone, kSome };
+
 // Returns the faults for a seed, in the order of their times. All have ended after `seconds`.
-std::vector<Fault> make_fault_plan(std::uint64_t seed, double seconds, std::size_t controllers);
+std::vector<Fault> make_fault_plan(std::uint64_t seed, double seconds, std::size_t controllers,
+                                   ZoneCuts zone_cuts = ZoneCuts::kNone);
 
 // Reads a plan whose lines have the form of Fault::text(). Throws std::runtime_error if a line has
 // another form.
--- a/tests/loopback/loopback_cluster.cpp
+++ b/tests/loopback/loopback_cluster.cpp
@@ -51,6 +51,8 @@
   result.memory_mb = options.memory_mb;
   result.settings = settings_of(options);
   result.state_ports = state_ports(service, options.controllers);
+  if (options.has_mixed_settings) result.settings_seed = options.seed;
+  result.max_member_ttl_s = options.lease_s / 2;
   return result;
 }
 
--- a/tests/loopback/loopback_cluster.h
+++ b/tests/loopback/loopback_cluster.h
@@ -32,6 +32,9 @@
   StateServiceLimits state;
   UserClients::Options users;
   bool agents_ignore_leases = false;
+  // Each controller's operators' settings are drawn anew at each start, and zones can be
+  // cut off.
+  bool has_mixed_settings = false;
 };
 
 // Starts everything and ends it on destruction. The users start with start_users().
--- a/tests/loopback/soak.cpp
+++ b/tests/loopback/soak.cpp
@@ -13,6 +13,7 @@
 using saddleslip::testing::Fault;
 using saddleslip::testing::LoopbackCluster;
 using saddleslip::testing::LoopbackOptions;
+using saddleslip::testing::ZoneCuts;
 
 // An accepted job that is not answered for within this time after the last fault counts as
 // forgotten.
@@ -70,9 +71,10 @@
   cluster_options.folder += "/seed-" + std::to_string(seed);
   std::filesystem::remove_all(cluster_options.folder);
   std::filesystem::create_directories(cluster_options.folder);
+  const auto zone_cuts = cluster_options.has_mixed_settings ? ZoneCuts::kSome : ZoneCuts::kNone;
   const auto plan = options.plan_path.empty()
-                        ? saddleslip::testing::make_fault_plan(seed, options.fault_seconds,
-                                                               cluster_options.controllers)
+                        ? saddleslip::testing::make_fault_plan(
+                              seed, options.fault_seconds, cluster_options.controllers, zone_cuts)
                         : saddleslip::testing::read_fault_plan(options.plan_path);
   LoopbackCluster cluster(cluster_options);
   sleep(kStartUpSeconds);
@@ -130,6 +132,8 @@
   app.add_option("--max-tasks", cluster.users.max_tasks, "of an array");
   app.add_option("--max-run", cluster.users.max_run_s, "of a task, in seconds");
   app.add_option("--requests", cluster.users.requests_per_second, "of users, per second");
+  app.add_flag("--mixed-settings", cluster.has_mixed_settings,
+               "draw the operators' settings of each controller at each start, and cut off zones");
   app.add_flag("--agents-ignore-leases", cluster.agents_ignore_leases,
                "break a rule, to see that it is reported");
 }
