Tests: one copy of a machine's zone, one way to read a setting and to cut a zone

The soak's entry of a machine kept the zone that its agent already has; the two scenario commands on operators' settings parsed the line alike; the beginning, the end and the reset of a zone cut listed the same three steps. No behaviour, assertion or bound changes; src/ is untouched.

--- a/tests/loopback/agent.h
+++ b/tests/loopback/agent.h
@@ -29,6 +29,8 @@
 
   Agent(std::string id, std::string zone, ClusterLedger& ledger, Time now);
 
+  const std::string& zone() const { return zone_; }
+
   const std::string& id() const { return id_; }
   // Ends all tasks if the lease has expired, which happens on a hanging machine too. Returns whether
   // it has.
--- a/tests/loopback/agent_swarm.cpp
+++ b/tests/loopback/agent_swarm.cpp
@@ -76,7 +76,6 @@
   const std::size_t number = entries_.size();
   const std::string id = numbered_name("i-", number);
   auto entry = std::make_unique<Entry>(Entry{Agent(id, zone_of(id), ledger_, now)});
-  entry->zone = zone_of(id);
   entry->controller = number % options_.controller_ports.size();
   entry->next_heartbeat_at =
       later(now, std::uniform_real_distribution<>(0, options_.heartbeat_interval_s)(random_));
@@ -172,7 +171,7 @@
   if (now < cut_until_[entry.controller]) return true;
   return std::any_of(controllers_of_cut_zones_.begin(), controllers_of_cut_zones_.end(),
                      [&](std::size_t controller) {
-                       return (entry.zone == zone_by_number(controller)) !=
+                       return (entry.agent.zone() == zone_by_number(controller)) !=
                               (entry.controller == controller);
                      });
 }
--- a/tests/loopback/agent_swarm.h
+++ b/tests/loopback/agent_swarm.h
@@ -84,7 +84,6 @@
     Time sent_at{}, next_heartbeat_at{}, next_due_at{};
     Time hung_until{}, deaf_until{};
     std::uint64_t sent_incarnation = 0;
-    std::string zone{};
     bool is_released = false;
     bool has_changed = false;
   };
--- a/tests/loopback/controller_processes.cpp
+++ b/tests/loopback/controller_processes.cpp
@@ -23,9 +23,9 @@
 
 constexpr std::chrono::milliseconds kLimiterPeriod{50};
 
-// Half of the controllers get the shortest TTL and the others a long one, since the difference
-// matters. The ranges from which the operators' settings of a controller are drawn.
-constexpr double kShortestTtlShare = 0.5;  // of the controllers have the shortest TTL
+// The ranges from which the operators' settings of a controller are drawn. A part of the controllers
+// gets the shortest TTL and the others a long one, since the difference matters.
+constexpr double kShortestTtlShare = 0.5;
 constexpr double kMinTtlSeconds = 1;
 constexpr double kMinRoundSeconds = 0.2;
 constexpr double kMaxRoundSeconds = 10;
--- a/tests/loopback/controller_processes.h
+++ b/tests/loopback/controller_processes.h
@@ -75,8 +75,8 @@
   // Stops a process from executing until resume() is called.
   void pause(std::size_t controller);
   void resume(std::size_t controller);
-  // Holds up all messages between the controller and its peers, or delivers them again. Requires
-  // Options::settings_seed.
+  // Holds up all messages between the controller and its peers, or delivers them again. No effect
+  // without Options::settings_seed.
   void set_isolated(std::size_t controller, bool is_isolated);
   // Returns the largest resident memory that the process has had, or 0 if it is not running.
   std::size_t peak_memory_bytes(std::size_t controller);
--- a/tests/loopback/fault_plan.cpp
+++ b/tests/loopback/fault_plan.cpp
@@ -68,6 +68,14 @@
 
 using StateFaults = StateServiceStandIn::Faults;
 
+// Cuts the controller and the machines of its zone off from everything else, or ends the cut.
+void set_zone_cut(std::size_t controller, bool is_cut, LoopbackCluster& cluster,
+                  StateServiceFaults& state) {
+  cluster.controllers().set_isolated(controller, is_cut);
+  cluster.agents().set_zone_cut(controller, is_cut);
+  state.change(controller, [is_cut](StateFaults& f) { f.is_refusing = is_cut; });
+}
+
 void begin(const Fault& fault, LoopbackCluster& cluster, StateServiceFaults& state) {
   switch (fault.kind) {
     case FaultKind::kKill:
@@ -98,9 +106,7 @@
     case FaultKind::kLateCommands:
       return cluster.agents().set_message_faults({0, kFaultyMessageShare});
     case FaultKind::kZoneCut:
-      cluster.controllers().set_isolated(fault.controller, true);
-      cluster.agents().set_zone_cut(fault.controller, true);
-      return state.change(fault.controller, [](StateFaults& f) { f.is_refusing = true; });
+      return set_zone_cut(fault.controller, true, cluster, state);
     case FaultKind::kCount:
       return;
   }
@@ -130,9 +136,7 @@
     case FaultKind::kLateCommands:
       return cluster.agents().set_message_faults({});
     case FaultKind::kZoneCut:
-      cluster.controllers().set_isolated(fault.controller, false);
-      cluster.agents().set_zone_cut(fault.controller, false);
-      return state.change(fault.controller, [](StateFaults& f) { f.is_refusing = false; });
+      return set_zone_cut(fault.controller, false, cluster, state);
     case FaultKind::kAgentsCutFromOne:
     case FaultKind::kMachinesHang:
     case FaultKind::kMachinesDeaf:
@@ -226,8 +230,7 @@
   state.change_all([](StateFaults& faults) { faults = {}; });
   cluster.agents().set_message_faults({});
   for (std::size_t i = 0; i < cluster.controllers().count(); ++i) {
-    cluster.controllers().set_isolated(i, false);
-    cluster.agents().set_zone_cut(i, false);
+    set_zone_cut(i, false, cluster, state);
     cluster.controllers().resume(i);
     cluster.controllers().start(i);
   }
--- a/tests/simulation/cluster_commands.cpp
+++ b/tests/simulation/cluster_commands.cpp
@@ -18,15 +18,18 @@
   cluster.config.teams.push_back(quota);
 }
 
+// Reads the rest of the line as one line of an operators' settings file.
+std::string read_setting(CommandLine& line) {
+  return line.remaining_text().substr(1) + "\n";
+}
+
 void play_operators(SimulatedCluster& cluster, CommandLine& line) {
-  const std::string setting = line.remaining_text();
-  cluster.config.operator_settings += setting.substr(1) + "\n";
+  cluster.config.operator_settings += read_setting(line);
 }
 
 void play_operators_of(SimulatedCluster& cluster, CommandLine& line) {
   const std::size_t controller = line.next_controller();
-  const std::string setting = line.remaining_text();
-  cluster.config.operator_settings_of[controller] += setting.substr(1) + "\n";
+  cluster.config.operator_settings_of[controller] += read_setting(line);
 }
 
 ClusterConfig::StateLimits read_limits(CommandLine& line) {
