--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,8 +9,7 @@
 flags="-std=c++20 -O1 -Itests -Ireview $(pkg-config --cflags cpp-httplib) -pthread"
 libraries="$(pkg-config --libs cpp-httplib) -pthread"
 objects=""
-for name in agent agent_swarm cloud_stand_in cluster_ledger controller_processes http_message \
-  peer_links state_service_stand_in; do
+for name in controller_processes http_message peer_links state_service_stand_in; do
   g++ $flags -c "tests/loopback/$name.cpp" -o "$out/$name.o" &
   objects="$objects $out/$name.o"
 done
